--- /dev/null
+++ b/drill/main.cpp
@@ -0,0 +1,14 @@
+// whinpost_drill: hosts any number of placers on the bench's wire, on standard input and output.
+#include <iostream>
+#include <string>
+
+#include "wire.h"
+
+int main() {
+    std::ios::sync_with_stdio(false);
+    std::cin.tie(nullptr);
+    whinpost::drill::Session session(std::cout);
+    for (std::string line; std::getline(std::cin, line);)
+        if (!session.line(line)) break;
+    return 0;
+}
--- /dev/null
+++ b/include/whinpost/placer.h
@@ -0,0 +1,279 @@
+// The interface of one placer: plain types, the port that decisions leave through, and the handles.
+// Nothing here decides anything; src/decide.cpp does. No wire, no clock, no thread: whoever embeds it passes the time.
+#pragma once
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <random>
+#include <string_view>
+#include <vector>
+
+#include "whinpost/ring.h"
+
+namespace whinpost {
+
+using Nanos = std::int64_t;
+constexpr Nanos kMicrosecond = 1'000, kMillisecond = 1'000'000, kSecond = 1'000'000'000;
+
+enum class Effect { idempotent, fingerprinted, side_effecting };
+enum class Place { none, machine, cell, zone, all };
+enum class Stage { serving, draining, gone };
+
+// How a launch ended. Only refused, unconnected and unsent prove that it never ran.
+enum class Ending { served, error, refused, timed_out, unconnected, reset, cancelled, unsent, unknown };
+enum class Reason { untold, no_cores, no_memory, queue_full, not_here, evicted, pushed_out, sent_away };
+
+struct QueueGroup {
+    Effect effect = Effect::idempotent;
+    Place repeats_dropped_by = Place::all;  // fingerprinted: the machines that together drop repeats
+    Nanos repeat_window = 0;
+    Nanos start_target = 0;
+    double importance = 1;
+    double start_worth_s = 0;   // a first start in time is worth so many seconds of service
+    double calm = 1, fade = 1;  // served in full up to calm cores busy, not at all from calm + fade
+    int kind = -1;              // the machine kind it needs, -1 for any
+    Place spread = Place::none;
+    int most = 0;
+    int priority = 0;
+};
+
+struct MachineKind {
+    double cores = 0, memory = 0;
+};
+
+// What machines say yes to, and what the amounts they report as free are free of.
+struct Acceptance {
+    double cores_multiple = 1, memory_multiple = 1;
+    bool reports_use = false;    // free means not in use; else not asked for
+    bool yes_on_running = false; // else yes comes on acceptance
+    bool preempts = false;
+};
+
+struct ColdTerms {
+    double from = 1;
+    Nanos warm_after = 0;
+    double multiple = 1;
+    Nanos window = 0;
+    double always_borne = 0;  // offers in a window, from all placers, that a cold machine always bears
+    int placers = 1;
+};
+
+struct ListTerms {
+    bool on_request = false;
+    Nanos ask_every = 0;
+};
+
+struct LaunchTerms {
+    int most = 1;
+    bool can_stop = false;
+};
+
+struct Prices {
+    double machines_in_use = 0, moves = 0, waste = 0, probes = 0, across_zones = 0, list_lines = 0, refused = 0;
+};
+
+struct Report {
+    double free_cores = 0, free_memory = 0, busy = 0, queued = 0;
+    bool has_free_cores = false, has_free_memory = false, has_busy = false, has_queued = false;
+};
+
+struct Listed {
+    int zone = 0, cell = 0, kind = 0;
+    double free_cores = 0, free_memory = 0;
+    Stage stage = Stage::serving;
+    Nanos started = 0;  // 0: long ago
+};
+
+struct Asked {
+    double cores = 0, memory = 0;
+    int group = 0;
+    Nanos time_left = 0;  // until its client gives up
+    Nanos life_left = 0;  // rough; 0: not told
+    bool came_again = false;
+};
+
+class Placer;
+class Container;
+struct Machine;
+
+struct Pair {
+    double value = 0, weight = 1;
+};
+
+struct Service {
+    Service(int number_, std::uint64_t mark_) : number(number_), mark(mark_) {}
+    int number;
+    std::uint64_t mark;  // says only that it is the same one, alike at every placer
+    int containers = 0;
+    std::map<int, Pair> beside;  // by the neighbour's number
+    double mean_value = 0, mean_cores = 0, cores_notes = 0;
+    double mean_life_s = 0;
+    std::vector<double> warm;  // the latest warm start latencies, seconds, in a ring
+    std::size_t warm_next = 0;
+    double median_warm = 0, median_cold = 0;
+    Nanos last_seen = 0;
+};
+
+struct Neighbour {
+    Service* service = nullptr;
+    int containers = 0;  // launched or running here
+    int running = 0;
+    Nanos last_ran = 0;
+};
+
+struct Machine {
+    Machine(int number_, std::uint64_t mark_);
+    int number;
+    std::uint64_t mark;  // says only that it is the same one, alike at every placer
+    Listed listed;
+    bool known = false;      // in a list of this placer
+    Nanos listed_at = 0;
+    Nanos blocked_until = 0;  // it said that it would take nothing
+    double refused_cores = 0, refused_memory = 0;
+    Nanos refused_until = 0;
+    std::vector<Neighbour> neighbours;
+    double own_cores = 0, own_memory = 0;
+    Ring<16> new_cores, new_memory;   // own change that the view cannot show yet
+    Ring<16> failed, begun;           // launches of this placer, by how they went
+    Ring<16> offers;                  // binds while young
+    double excess = 0;                // observed slow-down beyond the predicted, newest first
+    Nanos excess_at = 0;
+    double memory_used = 0;           // noted share, and when
+    Nanos memory_noted = 0;
+    double busy = 0;
+    Nanos busy_noted = 0;
+    Report report;
+    Nanos reported_at = 0;
+    bool working = true;
+    Nanos probed_at = 0;
+};
+
+// Everything a placer does leaves through here.
+class Port {
+public:
+    virtual ~Port() = default;
+    virtual void bind(Container&, Machine&, Nanos time_out) = 0;
+    virtual void defer(Container&, Nanos stay_away) = 0;
+    virtual void kill(Container&) = 0;
+    virtual void move(Container&) = 0;
+    virtual void stop_waiting(Container&, int launch) = 0;
+    virtual void probe(Machine&) = 0;
+    virtual void follow_list() = 0;
+    virtual void fetch_list() = 0;
+    virtual void wake(Nanos at) = 0;
+    virtual void log(std::string_view line) = 0;
+};
+
+// The handle of one container. All that happens to it after it was taken is a call on this.
+class Container {
+public:
+    void accepted(Nanos now, int launch);                      // the machine said yes
+    void runs(Nanos now, int launch);                          // it runs, where yes came earlier
+    void uses_cores(Nanos now, int launch, double cores);
+    void uses_memory(Nanos now, int launch, double memory);
+    void served_share(Nanos now, int launch, double share);
+    void machine_memory(Nanos now, int launch, double share);
+    void ended(Nanos now, int launch, Ending, Reason, bool closed, const Report&);
+    void withdrawn(Nanos now);                                 // its owner wants it no more
+    bool finished() const { return settled && !out; }          // nothing more can come; release() it
+
+    // Plain state, for the door and for tests to read.
+    std::uint64_t tag = 0;  // the door's own
+    Asked asked;
+    Service* service = nullptr;
+    Nanos taken = 0, until = 0;
+    bool settled = false;   // it has its final answer, or ended
+    bool placed = false;    // a machine said yes
+    bool running = false, noted_quality = false, warm_start = false;
+    int launches = 0;
+    Machine* out = nullptr; // where its launch or run is
+    Nanos sent = 0, launch_until = 0;
+    Machine* first_maybe = nullptr;  // where the first launch that may have run went
+    Nanos first_maybe_at = 0;
+    int rounds_without = 0;
+    Nanos not_before = 0;
+    double order = 0, cores_used = 0, memory_used = 0;
+    std::vector<Machine*> turned_down;
+
+private:
+    friend class Placer;
+    Placer* placer = nullptr;
+    std::list<std::unique_ptr<Container>>::iterator self;
+    std::list<Container*>::iterator queued;
+    bool in_queue = false;
+};
+
+class Placer {
+public:
+    Placer(Port&, std::uint64_t seed, int zone, std::vector<QueueGroup>, std::vector<MachineKind>, Acceptance,
+           ColdTerms, ListTerms, LaunchTerms, Prices);
+    ~Placer();
+
+    Machine& meet_machine(std::uint64_t mark);     // the door keeps the id
+    Service& meet_service(std::uint64_t mark);
+    void list_entry(Nanos now, Machine&, const Listed&);
+    void list_done(Nanos now, bool whole);         // whole: machines it did not name are gone
+    void list_failed(Nanos now);
+    void begin(Nanos now);                         // once the first list is in
+    Container& take(Nanos now, Service&, const Asked&, std::uint64_t tag);
+    Container& take_over(Nanos now, Service&, const Asked&, Machine&, std::uint64_t tag);
+    void release(Container&);                      // after finished()
+    void probed(Nanos now, Machine&, bool ok, const Report&);
+    void round(Nanos now);                         // after the events of one moment were told
+
+    double predicted(const Machine&, const Service&) const;  // the design's weighted sum, for readers and tests
+    bool may_bind(Nanos now, const Container&, const Machine&) const;
+    bool may_defer(const Container&) const;
+
+private:
+    friend class Container;
+    void settle(Container&);
+    void answer(Nanos now, Container&);
+    void enqueue(Container&);
+    void leave(Nanos now, Container&);
+    void put(Nanos now, Container&, Machine&);
+    void launch(Nanos now, Container&, Machine&);
+    void started(Nanos now, Container&);
+    void observe(Container&, double slow_down);
+    void heard(Nanos now, Machine&, const Report&);
+    void note_failure(Nanos now, Machine&, double amount);
+    void choose_working(Nanos now);
+    double slow_down(Nanos now, Container&, Machine&, double& start);
+    double failing(Nanos now, Machine&) const;
+    bool young(Nanos now, const Machine&) const;
+    bool young_bears(Nanos now, Machine&) const;
+    bool has_room(Nanos now, const Container&, Machine&) const;
+    double cores_share(Nanos now, Machine&, double extra) const;
+    double memory_share(Nanos now, Machine&, double extra) const;
+    Machine* pick(Nanos now, Container&, bool under_bound);
+    Nanos time_out(Nanos now, const Container&) const;
+    void wake_by(Nanos now, Nanos at);
+    int in_place(const Container&, const Machine&, Place) const;
+
+    Port& port_;
+    std::ranlux24_base chance_;
+    int zone_;
+    std::vector<QueueGroup> groups_;
+    std::vector<MachineKind> kinds_;
+    Acceptance accepts_;
+    ColdTerms cold_;
+    ListTerms list_;
+    LaunchTerms launch_;
+    Prices prices_;
+    std::list<Machine> machines_;
+    std::vector<Machine*> fleet_;  // the listed ones, in the order they were met
+    std::list<Service> services_;
+    std::list<std::unique_ptr<Container>> containers_;
+    std::list<Container*> queue_;
+    std::vector<Machine*> named_;  // by the list being told
+    double mean_value_;
+    double use_cores_ = 0, use_memory_ = 0, ask_cores_ = 0, ask_memory_ = 0;  // fading sums behind the use ratios
+    double answer_s_;                                                         // usual time to a yes
+    Nanos next_wake_ = 0, next_working_ = 0;
+    Nanos asked_list_ = 0, retry_list_ = 0, retry_gap_ = 0;
+    Nanos short_until_ = 0;  // until then the working set is one machine larger for each round that found none
+    int widen_ = 0;
+};
+
+}  // namespace whinpost
--- /dev/null
+++ b/include/whinpost/ring.h
@@ -0,0 +1,45 @@
+// Fixed time buckets used again in a ring: what was counted lately, and nothing older.
+#pragma once
+#include <array>
+#include <cstdint>
+
+namespace whinpost {
+
+template <int Buckets>
+class Ring {
+public:
+    explicit Ring(std::int64_t bucket_width) : width_(bucket_width) {}
+
+    void add(std::int64_t now, double amount) {
+        turn(now);
+        at_[slot(epoch_)] += amount;
+    }
+
+    // Everything counted in the buckets that still stand at `now`, or in the newest `buckets` of them.
+    double sum(std::int64_t now, int buckets = Buckets) {
+        turn(now);
+        double total = 0;
+        for (int back = 0; back < buckets && back < Buckets; ++back) total += at_[slot(epoch_ - back)];
+        return total;
+    }
+
+    void clear() { at_.fill(0); }
+
+private:
+    static std::size_t slot(std::int64_t epoch) {
+        return static_cast<std::size_t>(((epoch % Buckets) + Buckets) % Buckets);
+    }
+    void turn(std::int64_t now) {
+        const std::int64_t epoch = now / width_;
+        if (epoch - epoch_ >= Buckets) at_.fill(0);
+        else
+            while (epoch_ < epoch) at_[slot(++epoch_)] = 0;
+        if (epoch > epoch_) epoch_ = epoch;
+    }
+
+    std::int64_t width_;
+    std::int64_t epoch_ = 0;
+    std::array<double, Buckets> at_{};
+};
+
+}  // namespace whinpost
--- /dev/null
+++ b/src/decide.cpp
@@ -0,0 +1,670 @@
+// The decisions of one placer. Whoever embeds it tells it, with the time, what lists, machines and owners say (calls on
+// Placer, and on the Container handles it gave), then calls round() once for each moment. Decisions leave through the
+// Port. The interface and all plain types are in include/whinpost/placer.h; the design in docs/design.md.
+#include <algorithm>
+#include <cmath>
+#include <string>
+
+#include "whinpost/placer.h"
+
+namespace whinpost {
+namespace {
+
+// --- the design's own values ---
+constexpr double kStartingPair = 0.003;     // a tenth of the page's: tens of services share a machine here, not three
+constexpr double kCoefficient = 0.05;       // the design page's
+constexpr double kBound = 0.10;             // the paper's limit on slow-down
+constexpr double kLeastSlowDown = 0.01;     // the design page's floor in the order
+constexpr std::size_t kSample = 8;          // six is the design's start; two more, since some drop out for room
+constexpr double kPairPace = 0.2;           // a pair value is mostly its last ten observations
+constexpr std::size_t kMostPairs = 512;     // services known beside one other; bounds the tables
+constexpr std::size_t kWarmKept = 15;       // enough for a median that one odd start cannot move
+
+double fade_to(double old, double seen, double pace) { return old + pace * (seen - old); }
+double seconds(Nanos t) { return static_cast<double>(t) / 1e9; }
+Nanos nanos(double s) { return static_cast<Nanos>(s * 1e9); }
+bool proves_not_run(Ending e) {
+    return e == Ending::refused || e == Ending::unconnected || e == Ending::unsent;
+}
+Neighbour* find(Machine& m, const Service* s) {
+    for (Neighbour& n : m.neighbours)
+        if (n.service == s) return &n;
+    return nullptr;
+}
+
+}  // namespace
+
+constexpr Nanos kTally = 250 * kMillisecond;  // 16 buckets: four seconds of own changes and of launches' ends
+constexpr Nanos kYoungTally = 500 * kMillisecond;
+
+Machine::Machine(int number_, std::uint64_t mark_)
+    : number(number_), mark(mark_), new_cores(kTally), new_memory(kTally), failed(kTally), begun(kTally), offers(kYoungTally) {}
+
+Placer::Placer(Port& port, std::uint64_t seed, int zone, std::vector<QueueGroup> groups,
+               std::vector<MachineKind> kinds, Acceptance accepts, ColdTerms cold, ListTerms list, LaunchTerms launch,
+               Prices prices)
+    : port_(port), chance_(static_cast<std::ranlux24_base::result_type>(seed ^ (seed >> 24) ^ (seed >> 48))),
+      zone_(zone), groups_(std::move(groups)), kinds_(std::move(kinds)), accepts_(accepts), cold_(cold), list_(list),
+      launch_(launch), prices_(prices), mean_value_(kStartingPair), answer_s_(0.1) {}
+Placer::~Placer() = default;
+
+Machine& Placer::meet_machine(std::uint64_t mark) {
+    return machines_.emplace_back(static_cast<int>(machines_.size()), mark);
+}
+Service& Placer::meet_service(std::uint64_t mark) {
+    Service& s = services_.emplace_back(static_cast<int>(services_.size()), mark);
+    s.mean_value = kStartingPair;
+    return s;
+}
+
+// ---------------------------------------------------------------- the list of machines
+
+void Placer::begin(Nanos now) {
+    asked_list_ = now;
+    if (list_.on_request) port_.follow_list();
+}
+
+void Placer::list_entry(Nanos now, Machine& m, const Listed& entry) {
+    named_.push_back(&m);
+    if (!m.known) fleet_.push_back(&m);
+    if (m.known && entry.started > m.listed.started) {  // the same machine, started anew: it holds and knows nothing
+        m.failed.clear();
+        m.excess = m.memory_used = m.busy = 0;
+        for (Neighbour& n : m.neighbours) n.last_ran = 0;
+    }
+    m.known = true;
+    m.listed = entry;
+    m.listed_at = now;
+}
+
+void Placer::list_done(Nanos now, bool whole) {
+    if (whole)
+        for (Machine* m : fleet_)
+            if (std::find(named_.begin(), named_.end(), m) == named_.end()) m->listed.stage = Stage::gone;
+    named_.clear();
+    retry_gap_ = 0;
+    retry_list_ = 0;
+    asked_list_ = now;
+    std::erase_if(fleet_, [](Machine* m) {
+        if (m->listed.stage == Stage::gone) m->known = false;
+        return !m->known;
+    });
+    next_working_ = now;
+}
+
+// A call for the list that failed, or a watch that broke, is made again after a pause that doubles: no storm on a
+// list service that is overrun, and well inside the time after which not asking counts as having been told.
+constexpr Nanos kListPause = 500 * kMillisecond;  // about a call's usual time-out
+constexpr double kListPauseShare = 0.2;           // of the ask-every limit, at the most between two calls
+
+void Placer::list_failed(Nanos now) {
+    const Nanos most = std::max(kListPause, nanos(seconds(list_.ask_every) * kListPauseShare));
+    retry_gap_ = retry_gap_ ? std::min(most, 2 * retry_gap_) : kListPause;
+    retry_list_ = now + retry_gap_ / 2 + nanos(seconds(retry_gap_) * 0.5 * (chance_() % 1000) / 1000.0);
+    wake_by(now, retry_list_);
+}
+
+// ---------------------------------------------------------------- taking and answering
+
+Container& Placer::take(Nanos now, Service& service, const Asked& asked, std::uint64_t tag) {
+    Container& c = *containers_.emplace_back(std::make_unique<Container>());
+    c.self = std::prev(containers_.end());
+    c.placer = this;
+    c.tag = tag;
+    c.asked = asked;
+    c.service = &service;
+    c.taken = now;
+    c.until = now + asked.time_left;
+    service.last_seen = now;
+    enqueue(c);
+    return c;
+}
+
+Container& Placer::take_over(Nanos now, Service& service, const Asked& asked, Machine& m, std::uint64_t tag) {
+    Container& c = take(now, service, asked, tag);
+    queue_.erase(c.queued);
+    c.in_queue = false;
+    c.launches = 1;
+    put(now, c, m);
+    m.new_cores.clear();  // it is in the view already
+    m.new_memory.clear();
+    c.placed = c.running = true;
+    if (Neighbour* n = find(m, &service)) {
+        ++n->running;
+        n->last_ran = now;
+    }
+    return c;
+}
+
+void Placer::release(Container& c) {
+    if (c.in_queue) queue_.erase(c.queued);
+    containers_.erase(c.self);
+}
+
+void Placer::enqueue(Container& c) {
+    c.queued = queue_.insert(queue_.end(), &c);
+    c.in_queue = true;
+}
+
+void Placer::settle(Container& c) {
+    c.settled = true;
+    if (c.in_queue) queue_.erase(c.queued);
+    c.in_queue = false;
+}
+
+// A deferral says that trying again is harmless. So it is given only while no launch may have run, or where any
+// machine would drop the repeat; else the answer is a kill, which promises nothing.
+bool Placer::may_defer(const Container& c) const {
+    const QueueGroup& g = groups_[static_cast<std::size_t>(c.asked.group)];
+    if (c.out) return g.effect == Effect::idempotent;
+    return !c.first_maybe || g.effect == Effect::idempotent ||
+           (g.effect == Effect::fingerprinted && g.repeats_dropped_by == Place::all);
+}
+
+void Placer::answer(Nanos, Container& c) {
+    if (c.settled) return;
+    const bool defer = may_defer(c);
+    settle(c);
+    if (defer) port_.defer(c, 0);
+    else port_.kill(c);
+}
+
+// The rules, at each bind: never two launches out, no more than the stated number, nothing to a machine that drains or
+// is gone, nothing again where it could take effect twice, no service above its stated spread, no cold machine pushed.
+bool Placer::may_bind(Nanos now, const Container& c, const Machine& m) const {
+    const QueueGroup& g = groups_[static_cast<std::size_t>(c.asked.group)];
+    if (c.settled || c.out || c.launches >= launch_.most || now >= c.until) return false;
+    if (!m.known || m.listed.stage != Stage::serving) return false;
+    if (g.kind >= 0 && m.listed.kind != g.kind) return false;
+    if (c.first_maybe && g.effect == Effect::side_effecting) return false;
+    if (c.first_maybe && g.effect == Effect::fingerprinted) {
+        if (now - c.first_maybe_at >= g.repeat_window) return false;
+        const Listed& first = c.first_maybe->listed;
+        if (g.repeats_dropped_by == Place::zone && first.zone != m.listed.zone) return false;
+        if (g.repeats_dropped_by == Place::cell && first.cell != m.listed.cell) return false;
+        if (g.repeats_dropped_by == Place::machine && c.first_maybe != &m) return false;
+    }
+    return g.spread == Place::none || in_place(c, m, g.spread) < g.most;
+}
+
+int Placer::in_place(const Container& c, const Machine& m, Place place) const {
+    int count = 0;
+    for (const Machine& other : machines_) {  // machines that left the list may still hold some
+        const bool same = place == Place::machine ? &other == &m
+                          : place == Place::cell  ? other.listed.cell == m.listed.cell
+                                                  : place == Place::all || other.listed.zone == m.listed.zone;
+        if (!same) continue;
+        for (const Neighbour& n : other.neighbours)
+            if (n.service == c.service) count += n.containers;
+    }
+    return count;
+}
+
+// ---------------------------------------------------------------- the design: pair values, weights, prediction, order
+
+// Predicted slow-down of a service on a machine: over its known neighbours, the sum of weight times pair value, and for
+// the load that this placer does not know, the average pair value times the share asked of the machine beyond its own.
+double Placer::predicted(const Machine& m, const Service& s) const {
+    double sum = 0;
+    for (const Neighbour& n : m.neighbours) {
+        if (!n.containers) continue;
+        const auto it = s.beside.find(n.service->number);
+        sum += it == s.beside.end() ? kStartingPair : it->second.weight * it->second.value;
+    }
+    const MachineKind& kind = kinds_[static_cast<std::size_t>(m.listed.kind)];
+    const double unknown = std::max(0.0, kind.cores - m.listed.free_cores - m.own_cores) / kind.cores;
+    return sum + mean_value_ * unknown;
+}
+
+// One observation of a running container's slow-down. With one known neighbour it teaches that pair's value; with
+// several, the error moves their weights; and what neither explains is the machine's own (see slow_down).
+void Placer::observe(Container& c, double seen) {
+    Machine& m = *c.out;
+    Service& s = *c.service;
+    Service* only = nullptr;
+    int known = 0;
+    for (Neighbour& n : m.neighbours) {
+        if (n.containers - (n.service == &s) <= 0) continue;
+        ++known;
+        only = n.service;
+    }
+    const auto pair = [&s](const Service* other) -> Pair* {
+        if (auto it = s.beside.find(other->number); it != s.beside.end()) return &it->second;
+        if (s.beside.size() >= kMostPairs) return nullptr;
+        return &s.beside.emplace(other->number, Pair{kStartingPair, 1.0}).first->second;
+    };
+    if (known == 1) {
+        if (Pair* p = pair(only)) p->value = std::max(0.0, fade_to(p->value, seen, kPairPace));
+    } else if (known > 1) {
+        const double error = seen - predicted(m, s);
+        for (Neighbour& n : m.neighbours)
+            if (n.containers - (n.service == &s) > 0)
+                if (Pair* p = pair(n.service)) p->weight = std::max(0.0, p->weight + kCoefficient * error);
+    }
+    if (known) {
+        s.mean_value = fade_to(s.mean_value, seen / known, kCoefficient);
+        mean_value_ = std::max(0.0, fade_to(mean_value_, seen / known, kCoefficient));
+    }
+}
+
+// ---------------------------------------------------------------- what machines and owners tell
+
+constexpr Nanos kExcessHalves = 3 * kSecond;  // quality notes come once a second while they last: three missed halve it
+
+void Container::served_share(Nanos now, int, double share) {
+    if (!out || !placed) return;
+    Placer& p = *placer;
+    const double seen = 1.0 / std::max(share, 0.05) - 1.0;
+    noted_quality = true;
+    // Guards against whatever slows a machine and no neighbour explains: a slow or shared machine, containers that
+    // suddenly use more, crowding by other placers' containers. Fades by itself; could shun a machine that has healed.
+    const double beyond = std::max(0.0, seen - p.predicted(*out, *service));
+    out->excess = beyond;
+    out->excess_at = now;
+    p.observe(*this, seen);
+}
+
+void Container::uses_cores(Nanos, int, double cores) {
+    if (!out) return;
+    cores_used = cores;
+    Placer& p = *placer;
+    Service& s = *service;
+    s.cores_notes += 1;
+    s.mean_cores = fade_to(s.mean_cores, cores, std::max(0.05, 1 / s.cores_notes));
+    constexpr double kForget = 0.995;  // the ratio is that of the last few hundred notes
+    p.use_cores_ = p.use_cores_ * kForget + cores;
+    p.ask_cores_ = p.ask_cores_ * kForget + asked.cores;
+}
+
+void Container::uses_memory(Nanos, int, double memory) {
+    if (!out) return;
+    memory_used = memory;
+    constexpr double kForget = 0.995;
+    placer->use_memory_ = placer->use_memory_ * kForget + memory;
+    placer->ask_memory_ = placer->ask_memory_ * kForget + asked.memory;
+}
+
+void Container::machine_memory(Nanos now, int, double share) {
+    if (!out) return;
+    out->memory_used = share;
+    out->memory_noted = now;
+}
+
+void Container::accepted(Nanos now, int) {
+    if (settled || !out) return;
+    placed = true;
+    placer->answer_s_ = fade_to(placer->answer_s_, seconds(now - sent), 0.05);
+    if (placer->accepts_.yes_on_running) placer->started(now, *this);
+}
+
+void Container::runs(Nanos now, int) {
+    if (out && !running) placer->started(now, *this);
+}
+
+void Placer::started(Nanos now, Container& c) {
+    c.running = true;
+    Neighbour* n = find(*c.out, c.service);
+    c.out->begun.add(now, 1);
+    if (n) {
+        ++n->running;
+        n->last_ran = now;
+    }
+    Service& s = *c.service;
+    const double took = seconds(now - c.sent);
+    if (!c.warm_start) {
+        s.median_cold = s.median_cold > 0 ? fade_to(s.median_cold, took, 0.2) : took;
+        return;
+    }
+    if (s.warm.size() < kWarmKept) s.warm.push_back(took);
+    else s.warm[s.warm_next++ % kWarmKept] = took;
+    std::vector<double> sorted = s.warm;
+    std::nth_element(sorted.begin(), sorted.begin() + static_cast<long>(sorted.size() / 2), sorted.end());
+    s.median_warm = sorted[sorted.size() / 2];
+    if (s.warm.size() >= 3) observe(c, std::clamp(took / std::max(s.median_warm, 1e-4) - 1, -0.5, 2.0));
+}
+
+void Placer::heard(Nanos now, Machine& m, const Report& r) {
+    if (!r.has_free_cores && !r.has_busy && !r.has_free_memory) return;
+    m.report = r;
+    m.reported_at = now;
+    if (r.has_busy) {
+        m.busy = r.busy;
+        m.busy_noted = now;
+    }
+}
+
+void Placer::probed(Nanos now, Machine& m, bool ok, const Report& r) {
+    if (ok) heard(now, m, r);
+}
+
+constexpr Nanos kRefusalHolds = 700 * kMillisecond;  // a few containers end on a machine in that time
+constexpr Nanos kFullLineHolds = 300 * kMillisecond; // a line of offers is worked off in that time
+constexpr Nanos kNotHereHolds = 2 * kSecond;         // it drains, and the list will soon say so
+
+void Container::ended(Nanos now, int, Ending how, Reason why, bool closed, const Report& report) {
+    Placer& p = *placer;
+    if (!out) return;
+    Machine& m = *out;
+    p.heard(now, m, report);
+    const bool was_placed = placed;
+    if (how == Ending::served && service) {
+        const double life = seconds(now - sent);
+        service->mean_life_s = service->mean_life_s > 0 ? fade_to(service->mean_life_s, life, 0.1) : life;
+        if (!noted_quality && running) p.observe(*this, 0);  // no quality note in its life: it was served in full
+    }
+    if (!was_placed && !proves_not_run(how) && !first_maybe) {
+        first_maybe = &m;
+        first_maybe_at = sent;
+    }
+    p.leave(now, *this);
+    if (how == Ending::refused) {
+        if (why == Reason::no_cores || why == Reason::no_memory) {
+            m.refused_until = now + kRefusalHolds;
+            m.refused_cores = why == Reason::no_cores ? asked.cores : 1e18;
+            m.refused_memory = why == Reason::no_memory ? asked.memory : 1e18;
+        } else if (why == Reason::queue_full || why == Reason::untold) {
+            m.blocked_until = now + kFullLineHolds;
+        } else if (!first_maybe) {
+            m.blocked_until = now + kNotHereHolds;
+        }
+        turned_down.push_back(&m);
+    } else if (how == Ending::error || how == Ending::unconnected || how == Ending::timed_out ||
+               (how == Ending::reset && (!was_placed || why == Reason::untold))) {
+        m.failed.add(now, 1);
+        turned_down.push_back(&m);
+    }
+    if (why == Reason::evicted) {
+        m.memory_used = 1;
+        m.memory_noted = now;
+    }
+    if (closed) {
+        p.settle(*this);
+        return;
+    }
+    if (settled) return;
+    placed = running = false;
+    const QueueGroup& g = p.groups_[static_cast<std::size_t>(asked.group)];
+    const bool again = launches < p.launch_.most && now < until &&
+                       !(first_maybe && (g.effect == Effect::side_effecting ||
+                                         (g.effect == Effect::fingerprinted && now - first_maybe_at >= g.repeat_window)));
+    if (!again) p.answer(now, *this);
+    else p.enqueue(*this);
+}
+
+void Container::withdrawn(Nanos) { placer->settle(*this); }
+
+// ---------------------------------------------------------------- where a container is
+
+void Placer::put(Nanos now, Container& c, Machine& m) {
+    c.out = &m;
+    c.sent = now;
+    Neighbour* n = find(m, c.service);
+    if (!n) n = &m.neighbours.emplace_back(Neighbour{c.service, 0, 0, 0});
+    c.warm_start = n->running > 0 || (n->last_ran && now - n->last_ran < 5 * kSecond);
+    ++n->containers;
+    ++c.service->containers;
+    m.own_cores += c.asked.cores;
+    m.own_memory += c.asked.memory;
+    m.new_cores.add(now, c.asked.cores);
+    m.new_memory.add(now, c.asked.memory);
+}
+
+void Placer::leave(Nanos now, Container& c) {
+    Machine& m = *c.out;
+    if (Neighbour* n = find(m, c.service)) {
+        --n->containers;
+        if (c.running) {
+            --n->running;
+            n->last_ran = now;
+        }
+    }
+    std::erase_if(m.neighbours, [now](const Neighbour& n) { return !n.containers && now - n.last_ran > 15 * kSecond; });
+    --c.service->containers;
+    m.own_cores -= c.asked.cores;
+    m.own_memory -= c.asked.memory;
+    m.new_cores.add(now, -c.asked.cores);
+    m.new_memory.add(now, -c.asked.memory);
+    c.out = nullptr;
+}
+
+// ---------------------------------------------------------------- room
+
+constexpr int kViewLag = 6;             // tallies of own changes (1.5 s) that a late view is taken not to show yet
+constexpr double kMemoryFull = 0.88;    // from 92% of its memory a machine slows all it holds; leaves room for growth
+constexpr double kUnknownUse = 0.7;     // use over asks before any note has come: between none of it and all of it
+
+double Placer::cores_share(Nanos now, Machine& m, double extra) const {
+    const MachineKind& kind = kinds_[static_cast<std::size_t>(m.listed.kind)];
+    const double ratio = ask_cores_ > 0 ? use_cores_ / ask_cores_ : kUnknownUse;
+    const double recent = m.new_cores.sum(now, kViewLag);
+    double used = (kind.cores - m.listed.free_cores + recent) * ratio;
+    if (m.reported_at && now - m.reported_at < kSecond) {
+        const double late = m.new_cores.sum(now, 3) * ratio;
+        if (m.report.has_busy) used = std::max(used, m.report.busy * kind.cores + late);
+        else if (accepts_.reports_use && m.report.has_free_cores)
+            used = std::max(used, kind.cores - m.report.free_cores + late);
+    }
+    return (used + extra * ratio) / kind.cores;
+}
+
+double Placer::memory_share(Nanos now, Machine& m, double extra) const {
+    const MachineKind& kind = kinds_[static_cast<std::size_t>(m.listed.kind)];
+    const double ratio = ask_memory_ > 0 ? use_memory_ / ask_memory_ : kUnknownUse;
+    double used = (kind.memory - m.listed.free_memory + m.new_memory.sum(now, kViewLag)) * ratio;
+    if (accepts_.reports_use && m.report.has_free_memory && m.reported_at && now - m.reported_at < kSecond)
+        used = std::max(used, kind.memory - m.report.free_memory + m.new_memory.sum(now, 3) * ratio);
+    if (m.memory_noted && now - m.memory_noted < 2 * kSecond) used = std::max(used, m.memory_used * kind.memory);
+    return (used + extra * ratio) / kind.memory;
+}
+
+bool Placer::has_room(Nanos now, const Container& c, Machine& m) const {
+    if (now < m.blocked_until) return false;
+    if (now < m.refused_until && (c.asked.cores >= m.refused_cores || c.asked.memory >= m.refused_memory)) return false;
+    const MachineKind& kind = kinds_[static_cast<std::size_t>(m.listed.kind)];
+    const double cores = m.listed.free_cores + (accepts_.cores_multiple - 1) * kind.cores -
+                         m.new_cores.sum(now, kViewLag);
+    const double memory = m.listed.free_memory + (accepts_.memory_multiple - 1) * kind.memory -
+                          m.new_memory.sum(now, kViewLag);
+    return c.asked.cores <= cores && c.asked.memory <= memory &&
+           memory_share(now, m, c.asked.memory) <= std::max(kMemoryFull, 0.0);
+}
+
+// ---------------------------------------------------------------- young machines
+
+// The design's ramp. The stated number of offers in a window that a cold machine always bears, from all placers
+// together, is shared out evenly, and a placer never spends more than half of its part.
+bool Placer::young(Nanos now, const Machine& m) const {
+    return m.listed.started > 0 && now - m.listed.started < cold_.warm_after + cold_.window;
+}
+
+bool Placer::young_bears(Nanos now, Machine& m) const {
+    const double part = cold_.always_borne / cold_.placers * 0.5;
+    const int buckets = static_cast<int>(std::min<Nanos>(16, (cold_.window + kYoungTally - 1) / kYoungTally + 1));
+    if (part >= 1) return m.offers.sum(now, buckets) + 1 <= part;
+    return m.offers.sum(now, 16) < 1 && static_cast<double>(chance_.max()) > 0;
+}
+
+// ---------------------------------------------------------------- choosing
+
+// Share of this placer's late launches at a machine that went wrong. Guards against machines that fail starts, stand
+// still, are cut off or lose what they hold; heals when the tally has turned over. It is added as slow-down (launches
+// needed for one start, less one), so that a fleet in which all look bad is still used, least bad first.
+double Placer::failing(Nanos now, Machine& m) const {
+    const double bad = m.failed.sum(now);
+    return bad <= 0 ? 0 : bad / (bad + m.begun.sum(now) + 1);
+}
+
+double Placer::slow_down(Nanos now, Container& c, Machine& m, double& start) {
+    const QueueGroup& g = groups_[static_cast<std::size_t>(c.asked.group)];
+    double sum = predicted(m, *c.service);
+    // Departure (crowding): where running containers suddenly use more, the weights lag; what the machine is known to
+    // use then counts at once, by the queue group's own curve.
+    const double over = cores_share(now, m, c.asked.cores) - g.calm;
+    if (over > 0) sum += 1 / std::max(0.05, 1 - over / std::max(g.fade, 0.01)) - 1;
+    if (m.excess > 0)
+        sum += m.excess * std::exp2(-seconds(now - m.excess_at) / seconds(kExcessHalves));
+    const double f = failing(now, m);
+    sum += 1 / (1 - f) - 1;
+    // Departure (cold starts): a start without the program is slow, which costs the worth of a start in time.
+    const Neighbour* n = find(m, c.service);
+    const bool warm = n && (n->containers > 0 || (n->last_ran && now - n->last_ran < 5 * kSecond));
+    const double life = c.asked.life_left > 0 ? seconds(c.asked.life_left)
+                        : c.service->mean_life_s > 0 ? c.service->mean_life_s : g.start_worth_s;
+    start = warm && !young(now, m) ? 0 : g.start_worth_s / std::max(0.1, g.start_worth_s + life);
+    return sum;
+}
+
+constexpr Nanos kProgramKept = 5 * kSecond;  // machines keep a few programs for a while after their last container
+constexpr std::size_t kHomes = 2;            // a service has few containers at a placer; two homes outlive one's loss
+constexpr double kHomeCold = 0.5;            // others' containers of the service run at its home about as often as not
+
+// Departure (machines in use have a price): the sample is drawn from the fewest machines that hold the present load with
+// room to spare, the fullest first, so that the others run empty. All placers see the same late view, so they agree.
+constexpr double kTargetFill = 0.85;                 // of what a machine may be filled to
+constexpr Nanos kWorkingEvery = 250 * kMillisecond;  // the view moves about so often
+
+void Placer::choose_working(Nanos now) {
+    next_working_ = now + kWorkingEvery;
+    struct Ranked {
+        Machine* m;
+        double fill;
+        double size;
+    };
+    std::vector<Ranked> ranked;
+    double load = 0;
+    for (Machine* m : fleet_) {
+        if (m->listed.stage != Stage::serving) continue;
+        const MachineKind& kind = kinds_[static_cast<std::size_t>(m->listed.kind)];
+        const double asked_cores = (kind.cores - m->listed.free_cores) / (accepts_.cores_multiple * kind.cores);
+        const double asked_memory = (kind.memory - m->listed.free_memory) / (accepts_.memory_multiple * kind.memory);
+        const double fill = std::max({asked_cores, asked_memory, cores_share(now, *m, 0) / 0.8,
+                                      memory_share(now, *m, 0) / kMemoryFull});
+        ranked.push_back({m, fill, kind.cores});
+        load += fill * kind.cores;
+    }
+    std::stable_sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) { return a.fill > b.fill; });
+    double held = 0;
+    int extra = now < short_until_ ? widen_ : 0;
+    if (now >= short_until_) widen_ = 0;
+    for (Ranked& r : ranked) {
+        r.m->working = prices_.machines_in_use <= 0 || held < load || extra-- > 0;
+        if (failing(now, *r.m) < 0.2 && r.m->excess < kBound) held += r.size * kTargetFill;
+    }
+}
+
+// Departure (cold starts): placers cannot tell each other where a service runs. So each ranks the machines for it in
+// the same mixed order, made from marks that mean nothing in themselves, and the first of that order join the sample.
+std::uint64_t home_order(const Service& s, const Machine& m) {
+    std::uint64_t x = s.mark ^ (m.mark * 0x9e3779b97f4a7c15u);
+    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9u;
+    x = (x ^ (x >> 27)) * 0x94d049bb133111ebu;
+    return x ^ (x >> 31);
+}
+
+Machine* Placer::pick(Nanos now, Container& c, bool under_bound) {
+    std::vector<Machine*> fit;
+    for (Machine* m : fleet_)
+        if ((m->working || !under_bound) && may_bind(now, c, *m) && (!young(now, *m) || young_bears(now, *m)) &&
+            std::find(c.turned_down.begin(), c.turned_down.end(), m) == c.turned_down.end() && has_room(now, c, *m))
+            fit.push_back(m);
+    const auto warm = [&](Machine* m) {
+        const Neighbour* n = find(*m, c.service);
+        return n && (n->containers > 0 || (n->last_ran && now - n->last_ran < kProgramKept));
+    };
+    const auto home = std::stable_partition(fit.begin(), fit.end(), warm);
+    std::sort(home, fit.end(), [&](const Machine* a, const Machine* b) {
+        return home_order(*c.service, *a) < home_order(*c.service, *b);
+    });
+    const std::size_t known = static_cast<std::size_t>(home - fit.begin()) + kHomes;
+    const std::size_t most = std::min(known + kSample, fit.size());
+    Machine* best = nullptr;
+    double best_sum = 0;
+    for (std::size_t i = 0; i < most; ++i) {
+        if (i >= known) std::swap(fit[i], fit[i + chance_() % (fit.size() - i)]);
+        Machine& m = *fit[i];
+        double start = 0;
+        const double sum = slow_down(now, c, m, start);
+        if (under_bound && sum > kBound) continue;
+        if (i + kHomes >= known && i < known) start *= kHomeCold;
+        const double away = m.listed.zone != zone_ ? prices_.across_zones : 0;
+        if (!best || sum + start + away < best_sum) {
+            best = &m;
+            best_sum = sum + start + away;
+        }
+    }
+    return best;
+}
+
+// ---------------------------------------------------------------- rounds
+
+constexpr Nanos kRoundGap = 40 * kMillisecond;  // a requeued container's next round: a small part of any start target
+constexpr double kGiveUp = 0.5;                 // of the queue timeout: tried so long without a machine, it is answered
+
+// A launch that says nothing is given up so that another still fits, but never before many times the usual answer:
+// a hasty time-out leaves a copy. A container whose repeat could do harm waits for its queue timeout.
+Nanos Placer::time_out(Nanos now, const Container& c) const {
+    const QueueGroup& g = groups_[static_cast<std::size_t>(c.asked.group)];
+    const Nanos left = c.until - now;
+    if (g.effect == Effect::side_effecting || c.launches + 1 >= launch_.most) return left;
+    const double usual = std::max(8 * answer_s_, accepts_.yes_on_running ? seconds(left) * 0.6 : 0.8);
+    const Nanos wait = nanos(usual);
+    return wait > left * 7 / 10 ? left : wait;
+}
+
+void Placer::launch(Nanos now, Container& c, Machine& m) {
+    settle(c);
+    c.settled = false;
+    put(now, c, m);
+    ++c.launches;
+    if (young(now, m)) m.offers.add(now, 1);
+    const Nanos wait = time_out(now, c);
+    port_.bind(c, m, wait);
+}
+
+void Placer::wake_by(Nanos now, Nanos at) {
+    if (next_wake_ > now && next_wake_ <= at) return;
+    next_wake_ = at;
+    port_.wake(at);
+}
+
+void Placer::round(Nanos now) {
+    if (retry_list_ && now >= retry_list_) {
+        retry_list_ = 0;
+        asked_list_ = now;
+        port_.follow_list();
+    }
+    if (queue_.empty()) return;
+    if (now >= next_working_) choose_working(now);
+    std::vector<Container*> due;
+    for (Container* c : queue_) {
+        const Service& s = *c->service;
+        const double cores = s.cores_notes > 0 ? s.mean_cores : c->asked.cores;
+        c->order = cores / std::max(kLeastSlowDown, s.mean_value);
+        due.push_back(c);
+    }
+    std::stable_sort(due.begin(), due.end(), [](const Container* a, const Container* b) { return a->order > b->order; });
+    for (Container* c : due) {
+        if (now >= c->not_before) {
+            Machine* m = pick(now, *c, true);
+            if (!m && c->rounds_without > 0) m = pick(now, *c, false);
+            if (m) {
+                launch(now, *c, *m);
+                continue;
+            }
+            if (++c->rounds_without == 2) {
+                widen_ = std::min<int>(widen_ + 1, static_cast<int>(fleet_.size()));
+                short_until_ = now + 2 * kSecond;
+            }
+            c->turned_down.clear();
+            c->not_before = now + kRoundGap;
+        }
+        const Nanos patience = nanos(seconds(c->until - c->taken) * kGiveUp);
+        if (now >= c->taken + patience || now >= c->until) answer(now, *c);
+    }
+    Nanos next = 0;
+    for (Container* c : queue_)
+        if (!next || c->not_before < next) next = c->not_before;
+    if (next) wake_by(now, std::max(next, now + kMillisecond));
+}
+
+}  // namespace whinpost
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/placer_test.cpp
@@ -0,0 +1,90 @@
+#include <catch2/catch.hpp>
+
+#include "stand.h"
+
+using namespace whinpost;
+
+TEST_CASE("a pair value is learned beside one known neighbour, weights beside several") {
+    Stand t;
+    Machine& m = t.machine();
+    Service &a = t.placer.meet_service(1), &b = t.placer.meet_service(1), &c = t.placer.meet_service(1);
+    Container& ca = t.bound(a);
+    ca.accepted(t.now, 0);
+    t.bound(b).accepted(t.now, 0);
+    CHECK(t.placer.predicted(m, a) == Approx(0.006));
+    for (int i = 0; i < 40; ++i) ca.served_share(t.now, 0, 0.5);
+    CHECK(a.beside.at(b.number).value == Approx(1.0).epsilon(0.01));
+    CHECK(a.beside.at(b.number).weight == Approx(1.0));
+    t.bound(c).accepted(t.now, 0);
+    const double before = a.beside.at(b.number).weight;
+    ca.served_share(t.now, 0, 0.2);
+    CHECK(a.beside.at(b.number).weight > before);
+    CHECK(a.beside.at(c.number).weight > 1.0);
+}
+
+TEST_CASE("unknown load counts by the average pair value, without this placer's own containers") {
+    Stand t;
+    Machine& m = t.machine();
+    Service& a = t.placer.meet_service(1);
+    t.entry(m, {0, 0, 0, 8, 32, Stage::serving, 0});
+    CHECK(t.placer.predicted(m, a) == Approx(0.003 * 0.5));
+    t.bound(a);
+    CHECK(t.placer.predicted(m, a) == Approx(0.003 + 0.003 * 7 / 16));
+}
+
+TEST_CASE("a container whose owner saw a launch fail is answered by what may have run") {
+    const auto [effect, scope, how, answer] =
+        GENERATE(table<Effect, Place, Ending, char>({{Effect::side_effecting, Place::all, Ending::timed_out, 'k'},
+                                                     {Effect::side_effecting, Place::all, Ending::unknown, 'k'},
+                                                     {Effect::side_effecting, Place::all, Ending::refused, 'd'},
+                                                     {Effect::fingerprinted, Place::all, Ending::error, 'd'},
+                                                     {Effect::fingerprinted, Place::cell, Ending::error, 'k'},
+                                                     {Effect::idempotent, Place::all, Ending::error, 'd'}}));
+    Stand t({group(effect, scope)}, Stand::usual_cold(), {}, 1);
+    t.machine();
+    Container& c = t.bound(t.placer.meet_service(1));
+    REQUIRE(t.count('b') == 1);
+    t.end(c, how);
+    CHECK(c.settled);
+    CHECK(t.seen.back().what == answer);
+}
+
+TEST_CASE("a full fleet defers after waiting, well inside the queue timeout") {
+    Stand t;
+    Machine& m = t.machine();
+    t.entry(m, {0, 0, 0, -24, 32, Stage::serving, 0});
+    Container& c = t.take(t.placer.meet_service(1));
+    t.pass(kSecond);
+    CHECK(t.seen.empty());
+    t.pass(2 * kSecond);
+    CHECK(c.settled);
+    CHECK(t.count('d') == 1);
+}
+
+TEST_CASE("machines that fail starts are left for others, and come back") {
+    Stand t;
+    Machine &sick = t.machine(), &well = t.machine();
+    Service& s = t.placer.meet_service(1);
+    for (int i = 0; i < 6; ++i) sick.failed.add(t.now, 1);
+    for (int i = 0; i < 8; ++i) CHECK(t.bound(s).out == &well);
+    t.entry(well, {0, 0, 0, 16, 32, Stage::draining, 0});
+    Container& c = t.take(s);
+    t.pass(kSecond);
+    CHECK(c.out == &sick);  // least bad where nothing else is left
+    t.pass(5 * kSecond);
+    CHECK(sick.failed.sum(t.now) == 0);
+}
+
+TEST_CASE("a failed call for the list is made again after a growing pause, never in a storm") {
+    Stand t({QueueGroup{}}, Stand::usual_cold(), {true, 10 * kSecond});
+    t.placer.begin(t.now);
+    CHECK(t.count('f') == 1);
+    for (int i = 0; i < 2000; ++i) {
+        const int before = t.count('f');
+        t.pass(10 * kMillisecond, 10 * kMillisecond);
+        if (t.count('f') > before) t.placer.list_failed(t.now);
+        if (i == 0) t.placer.list_failed(t.now);
+    }
+    CHECK(t.count('f') >= 10);
+    CHECK(t.count('f') <= 20);
+}
--- /dev/null
+++ b/tests/rules_test.cpp
@@ -0,0 +1,156 @@
+// A slow, plain model of the rules beside the module on generated days: each bind and answer must be one it allows.
+#include <catch2/catch.hpp>
+
+#include <map>
+
+#include "stand.h"
+
+using namespace whinpost;
+
+namespace {
+
+struct Launch {
+    Machine* machine;
+    Nanos sent;
+    bool out = true, proven = false;
+};
+
+struct Model {
+    Stand& t;
+    std::vector<QueueGroup> groups;
+    ColdTerms cold;
+    std::map<Container*, std::vector<Launch>> launches;
+    std::map<Container*, char> answers;
+    std::map<Machine*, std::vector<Nanos>> young;
+    std::size_t read = 0;
+    Nanos told_before = 0;
+
+    bool same(const Machine& a, const Machine& b, Place p) const {
+        return p == Place::all || (p == Place::zone && a.listed.zone == b.listed.zone) ||
+               (p == Place::cell && a.listed.cell == b.listed.cell) || (p == Place::machine && &a == &b);
+    }
+    void check_bind(const Seen& s) {
+        const QueueGroup& g = groups[static_cast<std::size_t>(s.container->asked.group)];
+        REQUIRE_FALSE(answers.contains(s.container));
+        REQUIRE(s.machine->listed.stage == Stage::serving);
+        REQUIRE((g.kind < 0 || g.kind == s.machine->listed.kind));
+        REQUIRE(t.now < s.container->until);
+        REQUIRE(s.time_out <= s.container->until - t.now);
+        auto& mine = launches[s.container];
+        REQUIRE(mine.size() < 4);
+        const Launch* first = nullptr;
+        for (const Launch& l : mine) {
+            REQUIRE_FALSE(l.out);
+            if (!l.proven && !first) first = &l;
+        }
+        if (first) {
+            REQUIRE(g.effect != Effect::side_effecting);
+            if (g.effect == Effect::fingerprinted) {
+                REQUIRE(same(*first->machine, *s.machine, g.repeats_dropped_by));
+                REQUIRE(t.now - first->sent < g.repeat_window);
+            }
+        }
+        mine.push_back({s.machine, t.now});
+        if (g.spread != Place::none) {
+            int there = 0;
+            for (const auto& [c, all] : launches)
+                for (const Launch& l : all)
+                    there += l.out && c->service == s.container->service && same(*l.machine, *s.machine, g.spread);
+            REQUIRE(there <= g.most);
+        }
+        if (s.machine->listed.started && t.now - s.machine->listed.started < cold.warm_after) {
+            auto& binds = young[s.machine];
+            binds.push_back(t.now);
+            int lately = 0;
+            for (const Nanos at : binds) lately += t.now - at < cold.window;
+            REQUIRE(lately * cold.placers <= std::max<double>(cold.always_borne, cold.placers));
+        }
+    }
+    void check_answer(const Seen& s) {
+        const QueueGroup& g = groups[static_cast<std::size_t>(s.container->asked.group)];
+        REQUIRE(answers.emplace(s.container, s.what).second);
+        REQUIRE(told_before <= s.container->until);  // at the first moment it was told of after the queue timeout
+        if (s.what != 'd' || g.effect == Effect::idempotent) return;
+        for (const Launch& l : launches[s.container])
+            REQUIRE((l.proven || (g.effect == Effect::fingerprinted && g.repeats_dropped_by == Place::all && !l.out)));
+    }
+    void catch_up() {
+        for (; read < t.seen.size(); ++read) {
+            const Seen& s = t.seen[read];
+            if (s.what == 'b') check_bind(s);
+            if (s.what == 'd' || s.what == 'k') check_answer(s);
+        }
+    }
+};
+
+}  // namespace
+
+TEST_CASE("on generated days every bind and answer is one that the plain model of the rules allows") {
+    const auto seed = GENERATE(take(60, random(1u, 1u << 30)));
+    std::ranlux24_base chance(seed);
+    const auto roll = [&chance](int n) { return static_cast<int>(chance() % static_cast<unsigned>(n)); };
+    std::vector<QueueGroup> groups;
+    for (const Effect e : {Effect::idempotent, Effect::fingerprinted, Effect::side_effecting}) {
+        const Place places[] = {Place::all, Place::zone, Place::cell, Place::machine};
+        const Place spreads[] = {Place::none, Place::machine, Place::cell, Place::zone};
+        QueueGroup g = group(e, places[roll(4)], (1 + roll(4)) * kSecond);
+        g.spread = spreads[roll(4)];
+        g.most = 1 + roll(4);
+        g.kind = roll(5) - 4;
+        groups.push_back(g);
+    }
+    ColdTerms cold = Stand::usual_cold();
+    cold.always_borne = roll(30);
+    Stand t(groups, cold);
+    Model model{t, groups, cold, {}, {}, {}};
+    std::vector<Service*> services;
+    for (int i = 0; i < 4; ++i) services.push_back(&t.placer.meet_service(1));
+    for (int i = 0; i < 6; ++i) t.machine(i / 2, i / 4, roll(2) ? 0 : t.now - roll(12) * kSecond);
+    std::vector<Container*> alive;
+    for (int step = 0; step < 1500; ++step) {
+        model.told_before = t.now;
+        t.now += roll(200) == 0 ? roll(20) * kSecond : roll(40) * kMillisecond;  // the clock may jump far
+        for (Container* c : alive)  // the wire answers every launch by its time-out
+            if (c->out && !c->placed && t.now >= c->until) {
+                model.launches[c].back().out = false;
+                t.end(*c, Ending::timed_out);
+                model.catch_up();
+            }
+        if (roll(3) == 0) {
+            const int which = roll(3);
+            Container& c = t.take(*services[static_cast<std::size_t>(roll(4))], which, 0.5 + roll(8),
+                                  (1 + roll(6)) * kSecond);
+            alive.push_back(&c);
+        }
+        if (roll(60) == 0) {
+            Machine& m = *t.machines[static_cast<std::size_t>(roll(6))];
+            Listed l = m.listed;
+            l.stage = static_cast<Stage>(roll(3));
+            if (roll(2)) l.started = t.now, l.stage = Stage::serving;
+            l.free_cores = roll(40) - 24;
+            t.entry(m, l);
+        }
+        if (!alive.empty() && roll(2) == 0) {
+            Container& c = *alive[static_cast<std::size_t>(roll(static_cast<int>(alive.size())))];
+            if (c.out && !c.placed && roll(2)) c.accepted(t.now, c.launches - 1);
+            else if (c.out) {
+                const auto how = static_cast<Ending>(roll(9));
+                Launch& l = model.launches[&c].back();
+                l.out = false;
+                l.proven = how == Ending::refused || how == Ending::unconnected || how == Ending::unsent;
+                t.end(c, how, static_cast<Reason>(roll(8)), c.placed || c.settled);
+                model.catch_up();
+                if (c.settled) model.answers.emplace(&c, 'e');
+            }
+            model.catch_up();
+        }
+        t.placer.round(t.now);
+        model.catch_up();
+    }
+    for (int i = 0; i < 500; ++i) {
+        model.told_before = t.now;
+        t.pass(20 * kMillisecond);
+        model.catch_up();
+    }
+    for (Container* c : alive) CHECK((c->settled || c->out));  // none is held for ever
+}
--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,92 @@
+#include <catch2/catch.hpp>
+
+#include <sstream>
+
+#include "wire.h"
+
+using whinpost::drill::Session;
+
+namespace {
+
+const std::string kInit =
+    "INIT 5 balancers=2 classes.count=1 classes.0.aim_us=500000 classes.0.semantics=guarded classes.0.key_scope=cell "
+    "classes.0.repeat_window_us=4000000 contract.cold_from=0.5 contract.cold_us=1000000 contract.fall_multiple=2 "
+    "contract.fall_us=1000000 discovery=on_request contract.ask_every_us=9000000 family_info.accepts_cores=2 "
+    "family_info.memory_multiple=1.5 family_info.yes_at=accepted family_info.cpu_of_kind=8 "
+    "family_info.size_memory=16 limits.send_cap=3 zones=north zone=0 brand_new_key=1";
+
+std::string talk(const std::string& lines, bool* more = nullptr) {
+    std::ostringstream out;
+    Session session(out);
+    std::istringstream in(lines);
+    bool on = true;
+    for (std::string line; on && std::getline(in, line);) on = session.line(line);
+    if (more) *more = on;
+    return out.str();
+}
+
+std::string started(const std::string& rest) {
+    return talk("CLOCK 1000\nINSTANCE 4\n" + kInit +
+                "\nPOOL 0 1\nM h:1 0 0 16 0 8 SERVING 1 -\nROSTER_CHANGE Persisted 1 0\n" + rest + "YOUR_TURN\n");
+}
+
+const std::string kArrival = "ARRIVAL 77 - 4000000 1 svc - 0 2 t:k 0\n";
+
+}  // namespace
+
+TEST_CASE("an empty batch gets an empty reply") { CHECK(talk("CLOCK 8\nYOUR_TURN\n") == "READY\n"); }
+
+TEST_CASE("a taken container is bound, in microseconds, by the instance that took it") {
+    const std::string reply = started(kArrival);
+    CHECK(reply.find("SOURCE 4\nFOLLOW 1\nBIND 77 h:1 ") == 0);
+    CHECK(reply.rfind("READY\n") == reply.size() - 6);
+}
+
+TEST_CASE("what a killed instance still had to say is not said") {
+    const std::string reply = started("DOWN\nINSTANCE 4\n" + kInit + "\nROSTER_CHANGE Persisted 1 0\n");
+    CHECK(reply == "SOURCE 4\nFOLLOW 1\nREADY\n");
+}
+
+TEST_CASE("a finished container may still be named in the batch; one never given may not") {
+    const std::string verdict = "VERDICT 77 125 1 0 - 10 h:1 -\n";
+    bool more = false;
+    const std::string open = "OPEN 77 0 - t:k - - svc 1 2 0 h:1\n";
+    CHECK(started(open + verdict + "VANISHED 77\n").find("EXCEPTION") == std::string::npos);
+    CHECK(started("VANISHED 78\n").find("EXCEPTION VANISHED: txn was never given") != std::string::npos);
+    talk("CLOCK 1\nINSTANCE 0\nYOUR_TURN\n", &more);
+    CHECK(more);
+}
+
+TEST_CASE("malformed input ends the day with one line that names message and field") {
+    const auto [line, says] = GENERATE(table<std::string, std::string>({
+        {"ARRIVAL 77 - x 1 svc - 0 2 t:k 0\n", "EXCEPTION ARRIVAL: patience_left_us is not a whole number"},
+        {"ARRIVAL 77 - 5 1 svc - 3 2 t:k 0\n", "EXCEPTION ARRIVAL: lane is out of range"},
+        {"ARRIVAL 77\n", "EXCEPTION ARRIVAL: life_us is missing"},
+        {"GREETING 1\n", "EXCEPTION GREETING: message is not known"},
+        {"VERDICT 77 0 1 0 - 5 h:1 -\n", "EXCEPTION VERDICT: txn was never given"},
+        {"OPEN 7 0 - t:k - - svc 1 2 0 h:2\n", "EXCEPTION OPEN: host was in no list"},
+        {"POOL 3 2\nM h:2 0 0 1 0 1 SERVING 1 -\n", "EXCEPTION POOL: nodes_list names more"},
+        {"POOL 3 1\nM h:2 0 0 1 0 1 LOST 1 -\n", "EXCEPTION M: stage_state"},
+        {"CLOCK noon\n", "EXCEPTION CLOCK: clock is not a whole number"},
+        {"ECHO h:1 5 0 x0:1,x1:much\n", "EXCEPTION ECHO: gauge is not a number"},
+        {"ECHO h:1 5 0 x0:1,strange:much\n", "READY"},
+    }));
+    CHECK(started(line).find(says) != std::string::npos);
+}
+
+TEST_CASE("settings outside sense are refused at the start") {
+    const auto [from, to, says] = GENERATE(table<std::string, std::string, std::string>({
+        {"cpu_of_kind=8", "cpu_of_kind=0", "family_info.cpu_of_kind must be above zero"},
+        {" family_info.cpu_of_kind=8", "", "names no machine kind"},
+        {"zones=north", "zones=", "names no zone"},
+        {"accepts_cores=2", "accepts_cores=-1", "family_info.accepts_cores must be above zero"},
+        {"fall_us=1000000", "fall_us=0", "contract.fall_us must be above zero"},
+        {"semantics=guarded", "semantics=maybe", "semantics names no known kind"},
+        {"send_cap=3", "send_cap=", "limits.send_cap is missing"},
+    }));
+    std::string init = kInit;
+    init.replace(init.find(from), from.size(), to);
+    const std::string reply = talk("CLOCK 1\nINSTANCE 0\n" + init + "\nYOUR_TURN\n");
+    CHECK(reply.find("EXCEPTION INIT: ") != std::string::npos);
+    CHECK(reply.find(says) != std::string::npos);
+}
