--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -362,8 +362,12 @@
             m.refused_until = now + kRefusalHolds;
             m.refused_cores = why == Reason::no_cores ? asked.cores : 1e18;
             m.refused_memory = why == Reason::no_memory ? asked.memory : 1e18;
-        } else if (why == Reason::queue_full || why == Reason::untold) {
+        } else if (why == Reason::queue_full) {
             m.blocked_until = now + kFullLineHolds;
+        } else if (why == Reason::untold) {
+            // Guards against a machine that turns away what it has room for and gives no reason: nothing in its report
+            // or the view will show it. Counted like a failed start, which heals; harms little, since others have room.
+            m.failed.add(now, 1);
         } else if (!first_maybe) {
             m.blocked_until = now + kNotHereHolds;
         }
