Bound the line of unanswered launches at each machine

Rushes overflowed the lines of offers; a machine now holds a limited number of this placer's unanswered launches, halved by 'line full', grown by each yes, and a machine that owes answers for long gets nothing more. Also guards against machines that stand still or are cut off.

--- a/include/whinpost/placer.h
+++ b/include/whinpost/placer.h
@@ -137,6 +137,9 @@
     Ring<16> new_cores, new_memory;   // own change that the view cannot show yet
     Ring<16> failed, begun;           // launches of this placer, by how they went
     Ring<16> offers;                  // binds while young
+    int waiting = 0;          // launches without an answer yet
+    Nanos waiting_since = 0;  // since the first of them, or the last answer
+    double line;              // how many may wait at once
     double excess = 0;                // observed slow-down beyond the predicted, newest first
     Nanos excess_at = 0;
     double memory_used = 0;           // noted share, and when
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -36,9 +36,11 @@
 
 constexpr Nanos kTally = 250 * kMillisecond;  // 16 buckets: four seconds of own changes and of launches' ends
 constexpr Nanos kYoungTally = 500 * kMillisecond;
+constexpr double kLine = 8;  // unanswered launches of one placer at one machine at first: about a short line shared
 
 Machine::Machine(int number_, std::uint64_t mark_)
-    : number(number_), mark(mark_), new_cores(kTally), new_memory(kTally), failed(kTally), begun(kTally), offers(kYoungTally) {}
+    : number(number_), mark(mark_), new_cores(kTally), new_memory(kTally), failed(kTally), begun(kTally), offers(kYoungTally),
+      line(kLine) {}
 
 Placer::Placer(Port& port, std::uint64_t seed, int zone, std::vector<QueueGroup> groups,
                std::vector<MachineKind> kinds, Acceptance accepts, ColdTerms cold, ListTerms list, LaunchTerms launch,
@@ -129,6 +131,7 @@
     m.new_cores.clear();  // it is in the view already
     m.new_memory.clear();
     c.placed = c.running = true;
+    --m.waiting;
     if (Neighbour* n = find(m, &service)) {
         ++n->running;
         n->last_ran = now;
@@ -290,9 +293,19 @@
     out->memory_noted = now;
 }
 
+// Guards against lines of offers that overflow in a rush, and against machines that go silent (they stand still, are
+// cut off, or accept and never answer): the line a machine is let have halves when it says it is full and grows by each
+// yes, and a machine that owes answers for long gets nothing more. Could send a rush to machines without the program.
+constexpr double kLineGrows = 0.2;                  // five answers make room for one more
+constexpr double kSilent = 4;                       // times the usual answer
+constexpr Nanos kSilentAtLeast = 200 * kMillisecond; // a few offers' time on a slow machine
+
 void Container::accepted(Nanos now, int) {
     if (settled || !out) return;
     placed = true;
+    out->waiting -= 1;
+    out->waiting_since = now;
+    out->line = std::min(4 * kLine, out->line + kLineGrows);
     placer->answer_s_ = fade_to(placer->answer_s_, seconds(now - sent), 0.05);
     if (placer->accepts_.yes_on_running) placer->started(now, *this);
 }
@@ -364,6 +377,7 @@
             m.refused_memory = why == Reason::no_memory ? asked.memory : 1e18;
         } else if (why == Reason::queue_full) {
             m.blocked_until = now + kFullLineHolds;
+            m.line = std::max(1.0, m.line / 2);
         } else if (why == Reason::untold) {
             // Guards against a machine that turns away what it has room for and gives no reason: nothing in its report
             // or the view will show it. Counted like a failed start, which heals; harms little, since others have room.
@@ -407,6 +421,7 @@
     c.warm_start = n->running > 0 || (n->last_ran && now - n->last_ran < 5 * kSecond);
     ++n->containers;
     ++c.service->containers;
+    if (!m.waiting++) m.waiting_since = now;
     m.own_cores += c.asked.cores;
     m.own_memory += c.asked.memory;
     m.new_cores.add(now, c.asked.cores);
@@ -424,6 +439,10 @@
     }
     std::erase_if(m.neighbours, [now](const Neighbour& n) { return !n.containers && now - n.last_ran > 15 * kSecond; });
     --c.service->containers;
+    if (!c.placed) {
+        --m.waiting;
+        m.waiting_since = now;
+    }
     m.own_cores -= c.asked.cores;
     m.own_memory -= c.asked.memory;
     m.new_cores.add(now, -c.asked.cores);
@@ -462,7 +481,8 @@
 }
 
 bool Placer::has_room(Nanos now, const Container& c, Machine& m) const {
-    if (now < m.blocked_until) return false;
+    if (now < m.blocked_until || m.waiting >= m.line) return false;
+    if (m.waiting && now - m.waiting_since > std::max(kSilentAtLeast, nanos(kSilent * answer_s_))) return false;
     if (now < m.refused_until && (c.asked.cores >= m.refused_cores || c.asked.memory >= m.refused_memory)) return false;
     const MachineKind& kind = kinds_[static_cast<std::size_t>(m.listed.kind)];
     const double cores = m.listed.free_cores + (accepts_.cores_multiple - 1) * kind.cores -
