Move containers off machines that quality notes call bad, while the fleet has room

A bind is for life, but machines turn bad after it. Only idempotent containers: a moved one has run. Guards against slow or shared machines, services that suddenly use more; could waste starts where the trouble is about to end.

--- a/include/whinpost/placer.h
+++ b/include/whinpost/placer.h
@@ -144,6 +144,7 @@
     Nanos excess_at = 0;
     double memory_used = 0;           // noted share, and when
     Nanos memory_noted = 0;
+    Nanos relieved_at = 0;
     double busy = 0;
     Nanos busy_noted = 0;
     Report report;
@@ -242,6 +243,7 @@
     void heard(Nanos now, Machine&, const Report&);
     void note_failure(Nanos now, Machine&, double amount);
     void choose_working(Nanos now);
+    void relieve(Nanos now);
     double slow_down(Nanos now, Container&, Machine&, double& start);
     double failing(Nanos now, Machine&) const;
     bool young(Nanos now, const Machine&) const;
@@ -277,6 +279,7 @@
     Nanos asked_list_ = 0, retry_list_ = 0, retry_gap_ = 0;
     Nanos short_until_ = 0;  // until then the working set is one machine larger for each round that found none
     int widen_ = 0;
+    double fleet_fill_ = 0;  // of what the serving machines may be filled to
 };
 
 }  // namespace whinpost
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -567,7 +567,9 @@
         load += fill * kind.cores;
     }
     std::stable_sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) { return a.fill > b.fill; });
-    double held = 0;
+    double held = 0, all = 0;
+    for (const Ranked& r : ranked) all += r.size;
+    fleet_fill_ = load / std::max(all, 1e-9);
     int extra = now < short_until_ ? widen_ : 0;
     if (now >= short_until_) widen_ = 0;
     for (Ranked& r : ranked) {
@@ -619,6 +621,53 @@
     return best;
 }
 
+// Departure (moves): a bind is for life, but the machine may turn bad after it: its containers use more, another program
+// shares it, it slows. Where quality notes say so and a clean machine has room, the container that frees most is moved,
+// if what is won, in seconds of service, is worth more than the stated price. Only idempotent ones: a moved container
+// has run. Could waste starts where the trouble is about to end; so one a second for each machine.
+constexpr Nanos kMoveEvery = kSecond;   // quality notes come once a second: see what one move did before the next
+constexpr double kMoveFrom = 0.25;      // slow-down: served four fifths; less is within what a start costs
+constexpr double kMoveGain = 1.5;       // the gain is an estimate; it must be clear
+
+constexpr double kMoveBelow = 0.8;      // fuller than this, a move only carries the crowding elsewhere
+
+void Placer::relieve(Nanos now) {
+    if (fleet_fill_ > kMoveBelow) return;
+    for (Machine* m : fleet_) {
+        if (m->excess < kMoveFrom || now - m->excess_at > kMoveEvery || now - m->relieved_at < kMoveEvery) continue;
+        m->relieved_at = now;
+        const double lost = 1 - 1 / (1 + m->excess);
+        const MachineKind& kind = kinds_[static_cast<std::size_t>(m->listed.kind)];
+        Container* best = nullptr;
+        double best_gain = 0;
+        for (const auto& held : containers_) {
+            Container& c = *held;
+            const QueueGroup& g = groups_[static_cast<std::size_t>(c.asked.group)];
+            if (c.out != m || !c.running || c.settled || g.effect != Effect::idempotent) continue;
+            const double used = c.cores_used > 0 ? c.cores_used : c.asked.cores;
+            const double life = std::max(1.0, c.service->mean_life_s > 0 ? c.service->mean_life_s / 2 : g.start_worth_s);
+            const double others = m->own_cores / std::max(0.01, c.asked.cores) - 1;
+            const double freed = std::min(lost, used / kind.cores / std::max(0.05, g.fade));
+            const double gain = life * (lost + others * freed);
+            const double cost = prices_.moves * (2 * life + g.start_worth_s) + std::max(c.service->median_cold, 1.0);
+            if (gain > kMoveGain * cost && gain > best_gain) {
+                best = &c;
+                best_gain = gain;
+            }
+        }
+        if (!best) continue;
+        Container probe = *best;  // would it find a clean machine?
+        probe.out = nullptr;
+        probe.settled = false;
+        probe.launches = 0;
+        probe.until = now + kSecond;
+        probe.turned_down = {m};
+        if (!pick(now, probe, true)) continue;
+        best->settled = true;
+        port_.move(*best);
+    }
+}
+
 // ---------------------------------------------------------------- rounds
 
 constexpr Nanos kRoundGap = 40 * kMillisecond;  // a requeued container's next round: a small part of any start target
@@ -657,6 +706,7 @@
         asked_list_ = now;
         port_.follow_list();
     }
+    relieve(now);
     if (queue_.empty()) return;
     if (now >= next_working_) choose_working(now);
     std::vector<Container*> due;
