--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -454,6 +454,8 @@
 
 constexpr int kViewLag = 6;             // tallies of own changes (1.5 s) that a late view is taken not to show yet
 constexpr double kMemoryFull = 0.88;    // from 92% of its memory a machine slows all it holds; leaves room for growth
+constexpr double kMemoryHard = 0.98;    // the least slowed machine with room may go so far: deferring costs more
+constexpr double kMemorySlope = 8;      // crowded memory slows by up to 70% within a tenth of its size
 constexpr double kUnknownUse = 0.7;     // use over asks before any note has come: between none of it and all of it
 
 double Placer::cores_share(Nanos now, Machine& m, double extra) const {
@@ -490,7 +492,7 @@
     const double memory = m.listed.free_memory + (accepts_.memory_multiple - 1) * kind.memory -
                           m.new_memory.sum(now, kViewLag);
     return c.asked.cores <= cores && c.asked.memory <= memory &&
-           memory_share(now, m, c.asked.memory) <= std::max(kMemoryFull, 0.0);
+           memory_share(now, m, c.asked.memory) <= kMemoryHard;
 }
 
 // ---------------------------------------------------------------- young machines
@@ -525,6 +527,7 @@
     // use then counts at once, by the queue group's own curve.
     const double over = cores_share(now, m, c.asked.cores) - g.calm;
     if (over > 0) sum += 1 / std::max(0.05, 1 - over / std::max(g.fade, 0.01)) - 1;
+    sum += kMemorySlope * std::max(0.0, memory_share(now, m, c.asked.memory) - kMemoryFull);
     if (m.excess > 0)
         sum += m.excess * std::exp2(-seconds(now - m.excess_at) / seconds(kExcessHalves));
     const double f = failing(now, m);
