--- a/drill/wire.cpp
+++ b/drill/wire.cpp
@@ -367,6 +367,7 @@
         auto kinds = read_kinds(p);
         Acceptance accepts{p.positive("family_info.accepts_cores"), p.positive("family_info.memory_multiple"),
                            p.nth("family_info.free_by", 0, "asked") == "used",
+                           p.has("report.via") && p.text("report.via") == "on_probe" && p.truth("limits.probes"),
                            p.text("family_info.yes_at") == "running", p.truth_or("family_info.pushes_out", false)};
         ColdTerms cold{p.positive("contract.cold_from"), p.micros("contract.cold_us"),
                        p.positive("contract.fall_multiple"), p.micros("contract.fall_us"),
--- a/include/whinpost/placer.h
+++ b/include/whinpost/placer.h
@@ -46,6 +46,7 @@
 struct Acceptance {
     double cores_multiple = 1, memory_multiple = 1;
     bool reports_use = false;    // free means not in use; else not asked for
+    bool reports_on_probe = false;  // reports come with probes only
     bool yes_on_running = false; // else yes comes on acceptance
     bool preempts = false;
 };
@@ -212,7 +213,6 @@
 public:
     Placer(Port&, std::uint64_t seed, int zone, std::vector<QueueGroup>, std::vector<MachineKind>, Acceptance,
            ColdTerms, ListTerms, LaunchTerms, Prices);
-    ~Placer();
 
     Machine& meet_machine(std::uint64_t mark);     // the door keeps the id
     Service& meet_service(std::uint64_t mark);
@@ -244,6 +244,7 @@
     void note_failure(Nanos now, Machine&, double amount);
     void choose_working(Nanos now);
     void relieve(Nanos now);
+    void look(Nanos now);
     double slow_down(Nanos now, Container&, Machine&, double& start);
     double failing(Nanos now, Machine&) const;
     bool young(Nanos now, const Machine&) const;
@@ -279,6 +280,7 @@
     Nanos asked_list_ = 0, retry_list_ = 0, retry_gap_ = 0;
     Nanos short_until_ = 0;  // until then the working set is one machine larger for each round that found none
     int widen_ = 0;
+    double probes_due_ = 0;
     double fleet_fill_ = 0;  // of what the serving machines may be filled to
 };
 
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -34,6 +34,7 @@
 
 }  // namespace
 
+constexpr double kProbesEach = 0.4;           // probes for each container taken
 constexpr Nanos kTally = 250 * kMillisecond;  // 16 buckets: four seconds of own changes and of launches' ends
 constexpr Nanos kYoungTally = 500 * kMillisecond;
 constexpr double kLine = 8;  // unanswered launches of one placer at one machine at first: about a short line shared
@@ -48,7 +49,6 @@
     : port_(port), chance_(static_cast<std::ranlux24_base::result_type>(seed ^ (seed >> 24) ^ (seed >> 48))),
       zone_(zone), groups_(std::move(groups)), kinds_(std::move(kinds)), accepts_(accepts), cold_(cold), list_(list),
       launch_(launch), prices_(prices), mean_value_(kStartingPair), answer_s_(0.1) {}
-Placer::~Placer() = default;
 
 Machine& Placer::meet_machine(std::uint64_t mark) {
     return machines_.emplace_back(static_cast<int>(machines_.size()), mark);
@@ -118,6 +118,7 @@
     c.taken = now;
     c.until = now + asked.time_left;
     service.last_seen = now;
+    probes_due_ = std::min(probes_due_ + kProbesEach, 2.0);
     enqueue(c);
     return c;
 }
@@ -671,6 +672,23 @@
     }
 }
 
+// Where reports come with probes only, the machine heard of longest ago is probed, so often that a probe's price stays a
+// small part of what a container is worth. Guards against use that the view, which shows only asks, cannot show.
+constexpr Nanos kHeardOf = 400 * kMillisecond;        // reports are refreshed about so often
+
+void Placer::look(Nanos now) {
+    if (!accepts_.reports_on_probe || probes_due_ < 1) return;
+    Machine* oldest = nullptr;
+    for (Machine* m : fleet_)
+        if (m->listed.stage == Stage::serving && (!oldest || std::max(m->probed_at, m->reported_at) <
+                                                                 std::max(oldest->probed_at, oldest->reported_at)))
+            oldest = m;
+    if (!oldest || now - std::max(oldest->probed_at, oldest->reported_at) < kHeardOf) return;
+    oldest->probed_at = now;
+    probes_due_ -= 1;
+    port_.probe(*oldest);
+}
+
 // ---------------------------------------------------------------- rounds
 
 constexpr Nanos kRoundGap = 40 * kMillisecond;  // a requeued container's next round: a small part of any start target
@@ -710,6 +728,7 @@
         port_.follow_list();
     }
     relieve(now);
+    look(now);
     if (queue_.empty()) return;
     if (now >= next_working_) choose_working(now);
     std::vector<Container*> due;
