--- a/drill/wire.cpp
+++ b/drill/wire.cpp
@@ -41,7 +41,9 @@
         if (v == "-") bad(message_, field, "is absent");
         return v;
     }
-    std::int64_t whole(std::string_view field) { return number<std::int64_t>(field, required(field), "a whole number"); }
+    std::int64_t whole(std::string_view field) {
+        return number<std::int64_t>(field, required(field), "a whole number");
+    }
     std::int64_t whole_or(std::string_view field, std::int64_t absent) {
         const std::string_view v = text(field);
         return v == "-" ? absent : number<std::int64_t>(field, v, "a whole number");
@@ -71,7 +73,8 @@
     T number(std::string_view field, std::string_view v, std::string_view kind) const {
         T out{};
         const auto [at, error] = std::from_chars(v.data(), v.data() + v.size(), out);
-        if (error != std::errc{} || at != v.data() + v.size()) bad(message_, field, "is not " + std::string(kind));
+        if (error != std::errc{} || at != v.data() + v.size())
+            bad(message_, field, "is not " + std::string(kind));
         return out;
     }
 
@@ -156,7 +159,8 @@
     double parse(const std::string& path, std::string_view v) const {
         double out{};
         const auto [at, error] = std::from_chars(v.data(), v.data() + v.size(), out);
-        if (error != std::errc{} || at != v.data() + v.size() || !std::isfinite(out)) bad("INIT", path, "is not a number");
+        if (error != std::errc{} || at != v.data() + v.size() || !std::isfinite(out))
+            bad("INIT", path, "is not a number");
         return out;
     }
 
@@ -185,7 +189,8 @@
         else if (effect == "guarded") g.effect = Effect::fingerprinted;
         else if (effect == "single_shot") g.effect = Effect::side_effecting;
         else bad("INIT", at + "semantics", "names no known kind of effect");
-        if (p.has(at + "key_scope")) g.repeats_dropped_by = place_of(at + "key_scope", p.text(at + "key_scope"));
+        if (p.has(at + "key_scope"))
+            g.repeats_dropped_by = place_of(at + "key_scope", p.text(at + "key_scope"));
         g.repeat_window = p.micros_or_zero(at + "repeat_window_us");
         g.start_target = p.micros(at + "aim_us");
         g.importance = p.real_or(at + "importance", 1);
@@ -208,9 +213,11 @@
     std::vector<MachineKind> kinds;
     const auto cores = p.list("family_info.cpu_of_kind"), memory = p.list("family_info.size_memory");
     if (cores.empty()) bad("INIT", "family_info.cpu_of_kind", "names no machine kind");
-    if (memory.size() != cores.size()) bad("INIT", "family_info.size_memory", "does not match family_info.cpu_of_kind");
+    if (memory.size() != cores.size())
+        bad("INIT", "family_info.size_memory", "does not match family_info.cpu_of_kind");
     for (std::size_t i = 0; i < cores.size(); ++i) {
-        const MachineKind k{p.parse("family_info.cpu_of_kind", cores[i]), p.parse("family_info.size_memory", memory[i])};
+        const MachineKind k{p.parse("family_info.cpu_of_kind", cores[i]),
+                            p.parse("family_info.size_memory", memory[i])};
         if (!(k.cores > 0)) bad("INIT", "family_info.cpu_of_kind", "must be above zero");
         if (!(k.memory > 0)) bad("INIT", "family_info.size_memory", "must be above zero");
         kinds.push_back(k);
@@ -220,15 +227,24 @@
 
 Ending ending_of(std::int64_t code) {
     switch (code) {
-        case 0: return Ending::served;
-        case 5: return Ending::error;
-        case 11: return Ending::refused;
-        case 110: return Ending::timed_out;
-        case 111: return Ending::unconnected;
-        case 104: return Ending::reset;
-        case 125: return Ending::cancelled;
-        case 114: return Ending::unsent;
-        default: return Ending::unknown;
+        case 0:
+            return Ending::served;
+        case 5:
+            return Ending::error;
+        case 11:
+            return Ending::refused;
+        case 110:
+            return Ending::timed_out;
+        case 111:
+            return Ending::unconnected;
+        case 104:
+            return Ending::reset;
+        case 125:
+            return Ending::cancelled;
+        case 114:
+            return Ending::unsent;
+        default:
+            return Ending::unknown;
     }
 }
 
@@ -265,7 +281,8 @@
         void follow_list() override { State::write(instance, "FOLLOW 1"); }
         void fetch_list() override { State::write(instance, "SNAPSHOT"); }
         void wake(Nanos at) override {
-            State::write(instance, "WAKE_AT " + std::to_string((at + kMicrosecond - 1) / kMicrosecond) + " 1");
+            State::write(instance,
+                         "WAKE_AT " + std::to_string((at + kMicrosecond - 1) / kMicrosecond) + " 1");
         }
         void log(std::string_view line) override { State::write(instance, "TRACE " + std::string(line)); }
         Instance& instance;
@@ -353,8 +370,10 @@
             if (!value) continue;
             *value = f.number<double>("gauge", pair.substr(colon + 1), "a number");
             if (!std::isfinite(*value)) bad(f.message(), "gauge", "is not a finite number");
-            (name == "x0" ? r.has_free_cores : name == "x1" ? r.has_free_memory
-             : name == "busy" ? r.has_busy : r.has_queued) = true;
+            (name == "x0"     ? r.has_free_cores
+             : name == "x1"   ? r.has_free_memory
+             : name == "busy" ? r.has_busy
+                              : r.has_queued) = true;
         }
         return r;
     }
@@ -365,30 +384,39 @@
         const Params p(f.remainder());
         auto groups = read_groups(p);
         auto kinds = read_kinds(p);
-        Acceptance accepts{p.positive("family_info.accepts_cores"), p.positive("family_info.memory_multiple"),
-                           p.nth("family_info.free_by", 0, "asked") == "used",
-                           p.has("report.via") && p.text("report.via") == "on_probe" && p.truth("limits.probes"),
-                           p.text("family_info.yes_at") == "running", p.truth_or("family_info.pushes_out", false)};
-        ColdTerms cold{p.positive("contract.cold_from"), p.micros("contract.cold_us"),
-                       p.positive("contract.fall_multiple"), p.micros("contract.fall_us"),
+        Acceptance accepts{
+            p.positive("family_info.accepts_cores"),
+            p.positive("family_info.memory_multiple"),
+            p.nth("family_info.free_by", 0, "asked") == "used",
+            p.has("report.via") && p.text("report.via") == "on_probe" && p.truth("limits.probes"),
+            p.text("family_info.yes_at") == "running",
+            p.truth_or("family_info.pushes_out", false)};
+        ColdTerms cold{p.positive("contract.cold_from"),        p.micros("contract.cold_us"),
+                       p.positive("contract.fall_multiple"),    p.micros("contract.fall_us"),
                        p.real_or("family_info.young_limit", 0), static_cast<int>(p.positive("balancers"))};
         if (cold.window <= 0) bad("INIT", "contract.fall_us", "must be above zero");
         ListTerms list{p.text("discovery") == "on_request", p.micros_or_zero("contract.ask_every_us")};
-        LaunchTerms launch{static_cast<int>(p.positive("limits.send_cap")), p.truth_or("limits.cancelling", false)};
-        Prices prices{p.real_or("penalties.fleet", 0),      p.real_or("penalties.moves", 0),
-                      p.real_or("penalties.waste", 0),      p.real_or("penalties.probe", 0),
-                      p.real_or("penalties.cross_zone", 0), p.real_or("penalties.discovery", 0),
+        LaunchTerms launch{static_cast<int>(p.positive("limits.send_cap")),
+                           p.truth_or("limits.cancelling", false)};
+        Prices prices{p.real_or("penalties.fleet", 0),
+                      p.real_or("penalties.moves", 0),
+                      p.real_or("penalties.waste", 0),
+                      p.real_or("penalties.probe", 0),
+                      p.real_or("penalties.cross_zone", 0),
+                      p.real_or("penalties.discovery", 0),
                       p.real_or("family_info.turned_down_price", 0)};
         if (p.list("zones").empty()) bad("INIT", "zones", "names no zone");
         const double zone = p.real("zone");
-        if (zone < 0 || zone >= static_cast<double>(p.list("zones").size())) bad("INIT", "zone", "is out of range");
+        if (zone < 0 || zone >= static_cast<double>(p.list("zones").size()))
+            bad("INIT", "zone", "is out of range");
         const int number = i.number;
         auto fresh = std::make_unique<Instance>(number);
         fresh->groups = groups.size();
         fresh->kinds = kinds.size();
         fresh->zones = p.list("zones").size();
-        fresh->placer = std::make_unique<Placer>(fresh->writer, static_cast<std::uint64_t>(seed), static_cast<int>(zone),
-                                                 std::move(groups), std::move(kinds), accepts, cold, list, launch, prices);
+        fresh->placer = std::make_unique<Placer>(fresh->writer, static_cast<std::uint64_t>(seed),
+                                                 static_cast<int>(zone), std::move(groups), std::move(kinds),
+                                                 accepts, cold, list, launch, prices);
         std::erase(touched, &i);
         at = (instances[number] = std::move(fresh)).get();
         placer(f.message());
@@ -431,10 +459,13 @@
         const bool whole = scope == "Complete" || scope == "Persisted";
         if (!whole && scope != "Partial") bad(f.message(), "scope", "names no known scope");
         const std::int64_t number = f.whole("sheet");
-        if (number < 0 || static_cast<std::size_t>(number) >= sheets.size()) bad(f.message(), "sheet", "is out of range");
+        if (number < 0 || static_cast<std::size_t>(number) >= sheets.size())
+            bad(f.message(), "sheet", "is out of range");
         for (const Entry& e : sheets[static_cast<std::size_t>(number)]) {
-            if (e.listed.kind < 0 || static_cast<std::size_t>(e.listed.kind) >= at->kinds) bad("M", "shape", "is out of range");
-            if (e.listed.zone < 0 || static_cast<std::size_t>(e.listed.zone) >= at->zones) bad("M", "campus", "is out of range");
+            if (e.listed.kind < 0 || static_cast<std::size_t>(e.listed.kind) >= at->kinds)
+                bad("M", "shape", "is out of range");
+            if (e.listed.zone < 0 || static_cast<std::size_t>(e.listed.zone) >= at->zones)
+                bad("M", "campus", "is out of range");
             Machine*& m = at->machines[e.host];
             if (!m) {
                 m = &p.meet_machine(mark_of(e.host));
@@ -505,7 +536,7 @@
         else if (m == "DOWN") {
             Instance& i = current(m);
             std::erase(touched, &i);
-                const int n = i.number;
+            const int n = i.number;
             at = (instances[n] = std::make_unique<Instance>(n)).get();
         } else if (m == "POOL") pool(f);
         else if (m == "ROSTER_CHANGE") roster(f);
@@ -552,7 +583,8 @@
             Machine& on = machine(f);
             f.whole_or("elapsed_us", 0);
             const bool ok = f.whole("ending") == 0;
-            p.probed(now, on, ok, report(f));
+            const Report r = report(f);
+            if (ok) p.heard(now, on, r);
         } else if (m == "DATAGRAM") {
             placer(m);  // peers have nothing to tell: placers share nothing
         } else if (m == "M") bad(m, "line", "came outside a POOL");
@@ -566,12 +598,14 @@
             at = i;
             i->placer->round(now);
             for (const std::uint64_t id : std::exchange(i->answered, {}))
-                if (const auto it = i->containers.find(id); it != i->containers.end()) drop_if_finished(*it->second);
+                if (const auto it = i->containers.find(id); it != i->containers.end())
+                    drop_if_finished(*it->second);
             while (!i->dropped.empty() && now - i->dropped.front().first > 30 * kSecond) {
                 i->dropped_ids.erase(i->dropped.front().second);
                 i->dropped.pop_front();
             }
-            if (!i->reply.empty()) reply += "SOURCE " + std::to_string(i->number) + "\n" + std::exchange(i->reply, {});
+            if (!i->reply.empty())
+                reply += "SOURCE " + std::to_string(i->number) + "\n" + std::exchange(i->reply, {});
         }
         touched.clear();
         at = nullptr;
@@ -595,21 +629,26 @@
 
 void Session::State::Writer::bind(Container& c, Machine& m, Nanos time_out) {
     State::write(instance, "BIND " + std::to_string(c.tag) + " " + instance.hosts.at(&m) + " " +
-                              std::to_string(std::max<Nanos>(1, time_out / kMicrosecond)));
+                               std::to_string(std::max<Nanos>(1, time_out / kMicrosecond)));
 }
 void Session::State::Writer::defer(Container& c, Nanos stay_away) {
-    State::write(instance, "OVERLOAD_REPLY " + std::to_string(c.tag) + " " + std::to_string(stay_away / kMicrosecond));
+    State::write(instance,
+                 "OVERLOAD_REPLY " + std::to_string(c.tag) + " " + std::to_string(stay_away / kMicrosecond));
     instance.answered.push_back(c.tag);
 }
 void Session::State::Writer::kill(Container& c) {
     State::write(instance, "FAIL " + std::to_string(c.tag));
     instance.answered.push_back(c.tag);
 }
-void Session::State::Writer::move(Container& c) { State::write(instance, "RELOCATE " + std::to_string(c.tag)); }
+void Session::State::Writer::move(Container& c) {
+    State::write(instance, "RELOCATE " + std::to_string(c.tag));
+}
 void Session::State::Writer::stop_waiting(Container& c, int launch) {
     State::write(instance, "CANCEL " + std::to_string(c.tag) + " " + std::to_string(launch));
 }
-void Session::State::Writer::probe(Machine& m) { State::write(instance, "HEALTH_CHECK " + instance.hosts.at(&m)); }
+void Session::State::Writer::probe(Machine& m) {
+    State::write(instance, "HEALTH_CHECK " + instance.hosts.at(&m));
+}
 
 Session::Session(std::ostream& out) : state_(std::make_unique<State>(out)) {}
 Session::~Session() = default;
--- a/drill/wire.h
+++ b/drill/wire.h
@@ -1,4 +1,5 @@
-// The bench's wire: reads batches, turns them into calls on placers, writes what the placers answer. No decisions here.
+// The bench's wire: reads batches, turns them into calls on placers, writes what the placers answer. No
+// decisions here.
 #pragma once
 #include <iosfwd>
 #include <memory>
--- a/include/whinpost/placer.h
+++ b/include/whinpost/placer.h
@@ -1,5 +1,6 @@
 // The interface of one placer: plain types, the port that decisions leave through, and the handles.
-// Nothing here decides anything; src/decide.cpp does. No wire, no clock, no thread: whoever embeds it passes the time.
+// Nothing here decides anything; src/decide.cpp does. No wire, no clock, no thread: whoever embeds it passes
+// the time.
 #pragma once
 #include <cstdint>
 #include <list>
@@ -45,9 +46,9 @@
 // What machines say yes to, and what the amounts they report as free are free of.
 struct Acceptance {
     double cores_multiple = 1, memory_multiple = 1;
-    bool reports_use = false;    // free means not in use; else not asked for
+    bool reports_use = false;       // free means not in use; else not asked for
     bool reports_on_probe = false;  // reports come with probes only
-    bool yes_on_running = false; // else yes comes on acceptance
+    bool yes_on_running = false;    // else yes comes on acceptance
     bool preempts = false;
 };
 
@@ -71,7 +72,8 @@
 };
 
 struct Prices {
-    double machines_in_use = 0, moves = 0, waste = 0, probes = 0, across_zones = 0, list_lines = 0, refused = 0;
+    double machines_in_use = 0, moves = 0, waste = 0, probes = 0, across_zones = 0, list_lines = 0,
+           refused = 0;
 };
 
 struct Report {
@@ -128,26 +130,24 @@
     int number;
     std::uint64_t mark;  // says only that it is the same one, alike at every placer
     Listed listed;
-    bool known = false;      // in a list of this placer
-    Nanos listed_at = 0;
+    const MachineKind* size = nullptr;
+    bool known = false;       // in a list of this placer
     Nanos blocked_until = 0;  // it said that it would take nothing
     double refused_cores = 0, refused_memory = 0;
     Nanos refused_until = 0;
     std::vector<Neighbour> neighbours;
     double own_cores = 0, own_memory = 0;
-    Ring<16> new_cores, new_memory;   // own change that the view cannot show yet
-    Ring<16> failed, begun;           // launches of this placer, by how they went
-    Ring<16> offers;                  // binds while young
-    int waiting = 0;          // launches without an answer yet
-    Nanos waiting_since = 0;  // since the first of them, or the last answer
-    double line;              // how many may wait at once
-    double excess = 0;                // observed slow-down beyond the predicted, newest first
+    Ring<16> new_cores, new_memory;  // own change that the view cannot show yet
+    Ring<16> failed, begun;          // launches of this placer, by how they went
+    Ring<16> offers;                 // binds while young
+    int waiting = 0;                 // launches without an answer yet
+    Nanos waiting_since = 0;         // since the first of them, or the last answer
+    double line;                     // how many may wait at once
+    double excess = 0;               // observed slow-down beyond the predicted, newest first
     Nanos excess_at = 0;
-    double memory_used = 0;           // noted share, and when
+    double memory_used = 0;  // noted share, and when
     Nanos memory_noted = 0;
     Nanos relieved_at = 0;
-    double busy = 0;
-    Nanos busy_noted = 0;
     Report report;
     Nanos reported_at = 0;
     bool working = true;
@@ -173,32 +173,33 @@
 // The handle of one container. All that happens to it after it was taken is a call on this.
 class Container {
 public:
-    void accepted(Nanos now, int launch);                      // the machine said yes
-    void runs(Nanos now, int launch);                          // it runs, where yes came earlier
+    void accepted(Nanos now, int launch);  // the machine said yes
+    void runs(Nanos now, int launch);      // it runs, where yes came earlier
     void uses_cores(Nanos now, int launch, double cores);
     void uses_memory(Nanos now, int launch, double memory);
     void served_share(Nanos now, int launch, double share);
     void machine_memory(Nanos now, int launch, double share);
     void ended(Nanos now, int launch, Ending, Reason, bool closed, const Report&);
-    void withdrawn(Nanos now);                                 // its owner wants it no more
-    bool finished() const { return settled && !out; }          // nothing more can come; release() it
+    void withdrawn(Nanos now);                         // its owner wants it no more
+    bool finished() const { return settled && !out; }  // nothing more can come; release() it
 
     // Plain state, for the door and for tests to read.
     std::uint64_t tag = 0;  // the door's own
     Asked asked;
     Service* service = nullptr;
+    const QueueGroup* group = nullptr;
     Nanos taken = 0, until = 0;
-    bool settled = false;   // it has its final answer, or ended
-    bool placed = false;    // a machine said yes
+    bool settled = false;  // it has its final answer, or ended
+    bool placed = false;   // a machine said yes
     bool running = false, noted_quality = false, warm_start = false;
     int launches = 0;
-    Machine* out = nullptr; // where its launch or run is
+    Machine* out = nullptr;  // where its launch or run is
     Nanos sent = 0, launch_until = 0;
     Machine* first_maybe = nullptr;  // where the first launch that may have run went
     Nanos first_maybe_at = 0;
     int rounds_without = 0;
     Nanos not_before = 0;
-    double order = 0, cores_used = 0, memory_used = 0;
+    double order = 0, cores_used = 0;
     std::vector<Machine*> turned_down;
 
 private:
@@ -214,19 +215,20 @@
     Placer(Port&, std::uint64_t seed, int zone, std::vector<QueueGroup>, std::vector<MachineKind>, Acceptance,
            ColdTerms, ListTerms, LaunchTerms, Prices);
 
-    Machine& meet_machine(std::uint64_t mark);     // the door keeps the id
+    Machine& meet_machine(std::uint64_t mark);  // the door keeps the id
     Service& meet_service(std::uint64_t mark);
     void list_entry(Nanos now, Machine&, const Listed&);
-    void list_done(Nanos now, bool whole);         // whole: machines it did not name are gone
+    void list_done(Nanos now, bool whole);  // whole: machines it did not name are gone
     void list_failed(Nanos now);
-    void begin(Nanos now);                         // once the first list is in
+    void begin(Nanos now);  // once the first list is in
     Container& take(Nanos now, Service&, const Asked&, std::uint64_t tag);
     Container& take_over(Nanos now, Service&, const Asked&, Machine&, std::uint64_t tag);
-    void release(Container&);                      // after finished()
-    void probed(Nanos now, Machine&, bool ok, const Report&);
-    void round(Nanos now);                         // after the events of one moment were told
+    void release(Container&);                        // after finished()
+    void heard(Nanos now, Machine&, const Report&);  // a load report, from a probe
+    void round(Nanos now);                           // after the events of one moment were told
 
-    double predicted(const Machine&, const Service&) const;  // the design's weighted sum, for readers and tests
+    double predicted(const Machine&,
+                     const Service&) const;  // the design's weighted sum, for readers and tests
     bool may_bind(Nanos now, const Container&, const Machine&) const;
     bool may_defer(const Container&) const;
 
@@ -240,8 +242,6 @@
     void launch(Nanos now, Container&, Machine&);
     void started(Nanos now, Container&);
     void observe(Container&, double slow_down);
-    void heard(Nanos now, Machine&, const Report&);
-    void note_failure(Nanos now, Machine&, double amount);
     void choose_working(Nanos now);
     void relieve(Nanos now);
     void look(Nanos now);
@@ -267,6 +267,7 @@
     ListTerms list_;
     LaunchTerms launch_;
     Prices prices_;
+    double calm_;  // the least of any queue group's
     std::list<Machine> machines_;
     std::vector<Machine*> fleet_;  // the listed ones, in the order they were met
     std::list<Service> services_;
@@ -274,11 +275,13 @@
     std::list<Container*> queue_;
     std::vector<Machine*> named_;  // by the list being told
     double mean_value_;
-    double use_cores_ = 0, use_memory_ = 0, ask_cores_ = 0, ask_memory_ = 0;  // fading sums behind the use ratios
-    double answer_s_;                                                         // usual time to a yes
+    double use_cores_ = 0, use_memory_ = 0, ask_cores_ = 0,
+           ask_memory_ = 0;  // fading sums behind the use ratios
+    double answer_s_;        // usual time to a yes
     Nanos next_wake_ = 0, next_working_ = 0;
-    Nanos asked_list_ = 0, retry_list_ = 0, retry_gap_ = 0;
-    Nanos short_until_ = 0;  // until then the working set is one machine larger for each round that found none
+    Nanos retry_list_ = 0, retry_gap_ = 0;
+    Nanos short_until_ =
+        0;  // until then the working set is one machine larger for each round that found none
     int widen_ = 0;
     double probes_due_ = 0;
     double fleet_fill_ = 0;  // of what the serving machines may be filled to
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -1,6 +1,6 @@
-// The decisions of one placer. Whoever embeds it tells it, with the time, what lists, machines and owners say (calls on
-// Placer, and on the Container handles it gave), then calls round() once for each moment. Decisions leave through the
-// Port. The interface and all plain types are in include/whinpost/placer.h; the design in docs/design.md.
+// The decisions of one placer. Tell it, with the time, what lists, machines and owners say (calls on Placer
+// and on the Container handles it gives), then call round() once for each moment; decisions leave through the
+// Port. Interface and plain types: include/whinpost/placer.h. The design: docs/design.md.
 #include <algorithm>
 #include <cmath>
 #include <string>
@@ -10,15 +10,14 @@
 namespace whinpost {
 namespace {
 
-// --- the design's own values ---
-constexpr double kStartingPair = 0.003;     // a tenth of the page's: tens of services share a machine here, not three
-constexpr double kCoefficient = 0.05;       // the design page's
-constexpr double kBound = 0.10;             // the paper's limit on slow-down
-constexpr double kLeastSlowDown = 0.01;     // the design page's floor in the order
-constexpr std::size_t kSample = 8;          // six is the design's start; two more, since some drop out for room
-constexpr double kPairPace = 0.2;           // a pair value is mostly its last ten observations
-constexpr std::size_t kMostPairs = 512;     // services known beside one other; bounds the tables
-constexpr std::size_t kWarmKept = 15;       // enough for a median that one odd start cannot move
+constexpr double kStartingPair = 0.003;  // a tenth of the page's: tens of services share a machine
+constexpr double kCoefficient = 0.05;    // the design page's
+constexpr double kBound = 0.10;          // the paper's limit on slow-down
+constexpr double kLeastSlowDown = 0.01;  // the design page's floor in the order
+constexpr std::size_t kSample = 8;       // six is the design's start; two more, since some drop out for room
+constexpr double kPairPace = 0.2;        // a pair value is mostly its last ten observations
+constexpr std::size_t kMostPairs = 512;  // services known beside one other; bounds the tables
+constexpr std::size_t kWarmKept = 15;    // enough for a median that one odd start cannot move
 
 double fade_to(double old, double seen, double pace) { return old + pace * (seen - old); }
 double seconds(Nanos t) { return static_cast<double>(t) / 1e9; }
@@ -32,23 +31,31 @@
     return nullptr;
 }
 
+constexpr Nanos kProgramKept = 5 * kSecond;  // a few programs stay for a while after their last container
+bool warm(Nanos now, Machine& m, const Service* s) {
+    const Neighbour* n = find(m, s);
+    return n && (n->containers > 0 || (n->last_ran && now - n->last_ran < kProgramKept));
+}
+
 }  // namespace
 
 constexpr double kProbesEach = 0.4;           // probes for each container taken
 constexpr Nanos kTally = 250 * kMillisecond;  // 16 buckets: four seconds of own changes and of launches' ends
 constexpr Nanos kYoungTally = 500 * kMillisecond;
-constexpr double kLine = 8;  // unanswered launches of one placer at one machine at first: about a short line shared
+constexpr double kLine = 8;  // unanswered launches at one machine, at first: a short line, shared
 
 Machine::Machine(int number_, std::uint64_t mark_)
-    : number(number_), mark(mark_), new_cores(kTally), new_memory(kTally), failed(kTally), begun(kTally), offers(kYoungTally),
-      line(kLine) {}
+    : number(number_), mark(mark_), new_cores(kTally), new_memory(kTally), failed(kTally), begun(kTally),
+      offers(kYoungTally), line(kLine) {}
 
 Placer::Placer(Port& port, std::uint64_t seed, int zone, std::vector<QueueGroup> groups,
-               std::vector<MachineKind> kinds, Acceptance accepts, ColdTerms cold, ListTerms list, LaunchTerms launch,
-               Prices prices)
+               std::vector<MachineKind> kinds, Acceptance accepts, ColdTerms cold, ListTerms list,
+               LaunchTerms launch, Prices prices)
     : port_(port), chance_(static_cast<std::ranlux24_base::result_type>(seed ^ (seed >> 24) ^ (seed >> 48))),
-      zone_(zone), groups_(std::move(groups)), kinds_(std::move(kinds)), accepts_(accepts), cold_(cold), list_(list),
-      launch_(launch), prices_(prices), mean_value_(kStartingPair), answer_s_(0.1) {}
+      zone_(zone), groups_(std::move(groups)), kinds_(std::move(kinds)), accepts_(accepts), cold_(cold),
+      list_(list), launch_(launch), prices_(prices), calm_(1), mean_value_(kStartingPair), answer_s_(0.1) {
+    for (const QueueGroup& g : groups_) calm_ = std::min(calm_, g.calm);
+}
 
 Machine& Placer::meet_machine(std::uint64_t mark) {
     return machines_.emplace_back(static_cast<int>(machines_.size()), mark);
@@ -61,22 +68,21 @@
 
 // ---------------------------------------------------------------- the list of machines
 
-void Placer::begin(Nanos now) {
-    asked_list_ = now;
+void Placer::begin(Nanos) {
     if (list_.on_request) port_.follow_list();
 }
 
-void Placer::list_entry(Nanos now, Machine& m, const Listed& entry) {
+void Placer::list_entry(Nanos, Machine& m, const Listed& entry) {
     named_.push_back(&m);
     if (!m.known) fleet_.push_back(&m);
-    if (m.known && entry.started > m.listed.started) {  // the same machine, started anew: it holds and knows nothing
+    if (m.known && entry.started > m.listed.started) {  // started anew: it holds and knows nothing
         m.failed.clear();
-        m.excess = m.memory_used = m.busy = 0;
+        m.excess = m.memory_used = 0;
         for (Neighbour& n : m.neighbours) n.last_ran = 0;
     }
     m.known = true;
     m.listed = entry;
-    m.listed_at = now;
+    m.size = &kinds_[static_cast<std::size_t>(entry.kind)];
 }
 
 void Placer::list_done(Nanos now, bool whole) {
@@ -86,7 +92,6 @@
     named_.clear();
     retry_gap_ = 0;
     retry_list_ = 0;
-    asked_list_ = now;
     std::erase_if(fleet_, [](Machine* m) {
         if (m->listed.stage == Stage::gone) m->known = false;
         return !m->known;
@@ -94,13 +99,13 @@
     next_working_ = now;
 }
 
-// A call for the list that failed, or a watch that broke, is made again after a pause that doubles: no storm on a
-// list service that is overrun, and well inside the time after which not asking counts as having been told.
+// A call for the list that failed, or a watch that broke, is made again after a pause that doubles: no storm
+// on a list service that is overrun, and well inside the time after which not asking counts as having been
+// told.
 constexpr Nanos kListPause = 500 * kMillisecond;  // about a call's usual time-out
-constexpr double kListPauseShare = 0.2;           // of the ask-every limit, at the most between two calls
 
 void Placer::list_failed(Nanos now) {
-    const Nanos most = std::max(kListPause, nanos(seconds(list_.ask_every) * kListPauseShare));
+    const Nanos most = std::max(kListPause, list_.ask_every / 5);
     retry_gap_ = retry_gap_ ? std::min(most, 2 * retry_gap_) : kListPause;
     retry_list_ = now + retry_gap_ / 2 + nanos(seconds(retry_gap_) * 0.5 * (chance_() % 1000) / 1000.0);
     wake_by(now, retry_list_);
@@ -115,6 +120,7 @@
     c.tag = tag;
     c.asked = asked;
     c.service = &service;
+    c.group = &groups_[static_cast<std::size_t>(asked.group)];
     c.taken = now;
     c.until = now + asked.time_left;
     service.last_seen = now;
@@ -133,10 +139,9 @@
     m.new_memory.clear();
     c.placed = c.running = true;
     --m.waiting;
-    if (Neighbour* n = find(m, &service)) {
-        ++n->running;
-        n->last_ran = now;
-    }
+    Neighbour* n = find(m, &service);
+    ++n->running;
+    n->last_ran = now;
     return c;
 }
 
@@ -156,13 +161,12 @@
     c.in_queue = false;
 }
 
-// A deferral says that trying again is harmless. So it is given only while no launch may have run, or where any
-// machine would drop the repeat; else the answer is a kill, which promises nothing.
+// A deferral says that trying again is harmless. So it is given only while no launch may have run, or where
+// any machine would drop the repeat; else the answer is a kill, which promises nothing.
 bool Placer::may_defer(const Container& c) const {
-    const QueueGroup& g = groups_[static_cast<std::size_t>(c.asked.group)];
-    if (c.out) return g.effect == Effect::idempotent;
-    return !c.first_maybe || g.effect == Effect::idempotent ||
-           (g.effect == Effect::fingerprinted && g.repeats_dropped_by == Place::all);
+    if (c.out) return c.group->effect == Effect::idempotent;
+    return !c.first_maybe || c.group->effect == Effect::idempotent ||
+           (c.group->effect == Effect::fingerprinted && c.group->repeats_dropped_by == Place::all);
 }
 
 void Placer::answer(Nanos, Container& c) {
@@ -173,22 +177,22 @@
     else port_.kill(c);
 }
 
-// The rules, at each bind: never two launches out, no more than the stated number, nothing to a machine that drains or
-// is gone, nothing again where it could take effect twice, no service above its stated spread, no cold machine pushed.
+// The rules, at each bind: never two launches out, no more than the stated number, nothing to a machine that
+// drains or is gone, nothing again where it could take effect twice, no service above its stated spread, no
+// cold machine pushed.
 bool Placer::may_bind(Nanos now, const Container& c, const Machine& m) const {
-    const QueueGroup& g = groups_[static_cast<std::size_t>(c.asked.group)];
     if (c.settled || c.out || c.launches >= launch_.most || now >= c.until) return false;
     if (!m.known || m.listed.stage != Stage::serving) return false;
-    if (g.kind >= 0 && m.listed.kind != g.kind) return false;
-    if (c.first_maybe && g.effect == Effect::side_effecting) return false;
-    if (c.first_maybe && g.effect == Effect::fingerprinted) {
-        if (now - c.first_maybe_at >= g.repeat_window) return false;
+    if (c.group->kind >= 0 && m.listed.kind != c.group->kind) return false;
+    if (c.first_maybe && c.group->effect == Effect::side_effecting) return false;
+    if (c.first_maybe && c.group->effect == Effect::fingerprinted) {
+        if (now - c.first_maybe_at >= c.group->repeat_window) return false;
         const Listed& first = c.first_maybe->listed;
-        if (g.repeats_dropped_by == Place::zone && first.zone != m.listed.zone) return false;
-        if (g.repeats_dropped_by == Place::cell && first.cell != m.listed.cell) return false;
-        if (g.repeats_dropped_by == Place::machine && c.first_maybe != &m) return false;
+        if (c.group->repeats_dropped_by == Place::zone && first.zone != m.listed.zone) return false;
+        if (c.group->repeats_dropped_by == Place::cell && first.cell != m.listed.cell) return false;
+        if (c.group->repeats_dropped_by == Place::machine && c.first_maybe != &m) return false;
     }
-    return g.spread == Place::none || in_place(c, m, g.spread) < g.most;
+    return c.group->spread == Place::none || in_place(c, m, c.group->spread) < c.group->most;
 }
 
 int Placer::in_place(const Container& c, const Machine& m, Place place) const {
@@ -204,10 +208,12 @@
     return count;
 }
 
-// ---------------------------------------------------------------- the design: pair values, weights, prediction, order
+// ---------------------------------------------------------------- the design: pair values, weights,
+// prediction, order
 
-// Predicted slow-down of a service on a machine: over its known neighbours, the sum of weight times pair value, and for
-// the load that this placer does not know, the average pair value times the share asked of the machine beyond its own.
+// Predicted slow-down of a service on a machine: over its known neighbours, the sum of weight times pair
+// value, and for the load that this placer does not know, the average pair value times the share asked of the
+// machine beyond its own.
 double Placer::predicted(const Machine& m, const Service& s) const {
     double sum = 0;
     for (const Neighbour& n : m.neighbours) {
@@ -215,13 +221,13 @@
         const auto it = s.beside.find(n.service->number);
         sum += it == s.beside.end() ? kStartingPair : it->second.weight * it->second.value;
     }
-    const MachineKind& kind = kinds_[static_cast<std::size_t>(m.listed.kind)];
-    const double unknown = std::max(0.0, kind.cores - m.listed.free_cores - m.own_cores) / kind.cores;
+    const double unknown = std::max(0.0, m.size->cores - m.listed.free_cores - m.own_cores) / m.size->cores;
     return sum + mean_value_ * unknown;
 }
 
-// One observation of a running container's slow-down. With one known neighbour it teaches that pair's value; with
-// several, the error moves their weights; and what neither explains is the machine's own (see slow_down).
+// One observation of a running container's slow-down. With one known neighbour it teaches that pair's value;
+// with several, the error moves their weights; and what neither explains is the machine's own (see
+// slow_down).
 void Placer::observe(Container& c, double seen) {
     Machine& m = *c.out;
     Service& s = *c.service;
@@ -253,37 +259,34 @@
 
 // ---------------------------------------------------------------- what machines and owners tell
 
-constexpr Nanos kExcessHalves = 3 * kSecond;  // quality notes come once a second while they last: three missed halve it
+constexpr Nanos kExcessHalves = 3 * kSecond;  // notes come once a second: three missed halve it
 
 void Container::served_share(Nanos now, int, double share) {
     if (!out || !placed) return;
     Placer& p = *placer;
     const double seen = 1.0 / std::max(share, 0.05) - 1.0;
     noted_quality = true;
-    // Guards against whatever slows a machine and no neighbour explains: a slow or shared machine, containers that
-    // suddenly use more, crowding by other placers' containers. Fades by itself; could shun a machine that has healed.
-    const double beyond = std::max(0.0, seen - p.predicted(*out, *service));
-    out->excess = beyond;
+    // Guards against whatever slows a machine and no neighbour explains: a slow or shared machine, containers
+    // that suddenly use more, crowding by other placers' containers. Fades by itself; could shun a machine
+    // that has healed.
+    out->excess = std::max(0.0, seen - p.predicted(*out, *service));
     out->excess_at = now;
     p.observe(*this, seen);
 }
 
+constexpr double kForget = 0.995;  // use over asks is that of the last few hundred notes
+
 void Container::uses_cores(Nanos, int, double cores) {
     if (!out) return;
     cores_used = cores;
-    Placer& p = *placer;
-    Service& s = *service;
-    s.cores_notes += 1;
-    s.mean_cores = fade_to(s.mean_cores, cores, std::max(0.05, 1 / s.cores_notes));
-    constexpr double kForget = 0.995;  // the ratio is that of the last few hundred notes
-    p.use_cores_ = p.use_cores_ * kForget + cores;
-    p.ask_cores_ = p.ask_cores_ * kForget + asked.cores;
+    service->cores_notes += 1;
+    service->mean_cores = fade_to(service->mean_cores, cores, std::max(0.05, 1 / service->cores_notes));
+    placer->use_cores_ = placer->use_cores_ * kForget + cores;
+    placer->ask_cores_ = placer->ask_cores_ * kForget + asked.cores;
 }
 
 void Container::uses_memory(Nanos, int, double memory) {
     if (!out) return;
-    memory_used = memory;
-    constexpr double kForget = 0.995;
     placer->use_memory_ = placer->use_memory_ * kForget + memory;
     placer->ask_memory_ = placer->ask_memory_ * kForget + asked.memory;
 }
@@ -294,12 +297,13 @@
     out->memory_noted = now;
 }
 
-// Guards against lines of offers that overflow in a rush, and against machines that go silent (they stand still, are
-// cut off, or accept and never answer): the line a machine is let have halves when it says it is full and grows by each
-// yes, and a machine that owes answers for long gets nothing more. Could send a rush to machines without the program.
-constexpr double kLineGrows = 0.2;                  // five answers make room for one more
-constexpr double kSilent = 4;                       // times the usual answer
-constexpr Nanos kSilentAtLeast = 200 * kMillisecond; // a few offers' time on a slow machine
+// Guards against lines of offers that overflow in a rush, and against machines that go silent (they stand
+// still, are cut off, or accept and never answer): the line a machine is let have halves when it says it is
+// full and grows by each yes, and a machine that owes answers for long gets nothing more. Could send a rush
+// to machines without the program.
+constexpr double kLineGrows = 0.2;                    // five answers make room for one more
+constexpr double kSilent = 4;                         // times the usual answer
+constexpr Nanos kSilentAtLeast = 200 * kMillisecond;  // a few offers' time on a slow machine
 
 void Container::accepted(Nanos now, int) {
     if (settled || !out) return;
@@ -319,10 +323,8 @@
     c.running = true;
     Neighbour* n = find(*c.out, c.service);
     c.out->begun.add(now, 1);
-    if (n) {
-        ++n->running;
-        n->last_ran = now;
-    }
+    ++n->running;
+    n->last_ran = now;
     Service& s = *c.service;
     const double took = seconds(now - c.sent);
     if (!c.warm_start) {
@@ -341,19 +343,11 @@
     if (!r.has_free_cores && !r.has_busy && !r.has_free_memory) return;
     m.report = r;
     m.reported_at = now;
-    if (r.has_busy) {
-        m.busy = r.busy;
-        m.busy_noted = now;
-    }
 }
 
-void Placer::probed(Nanos now, Machine& m, bool ok, const Report& r) {
-    if (ok) heard(now, m, r);
-}
-
-constexpr Nanos kRefusalHolds = 700 * kMillisecond;  // a few containers end on a machine in that time
-constexpr Nanos kFullLineHolds = 300 * kMillisecond; // a line of offers is worked off in that time
-constexpr Nanos kNotHereHolds = 2 * kSecond;         // it drains, and the list will soon say so
+constexpr Nanos kRefusalHolds = 700 * kMillisecond;   // a few containers end on a machine in that time
+constexpr Nanos kFullLineHolds = 300 * kMillisecond;  // a line of offers is worked off in that time
+constexpr Nanos kNotHereHolds = 2 * kSecond;          // it drains, and the list will soon say so
 
 void Container::ended(Nanos now, int, Ending how, Reason why, bool closed, const Report& report) {
     Placer& p = *placer;
@@ -364,12 +358,14 @@
     if (how == Ending::served && service) {
         const double life = seconds(now - sent);
         service->mean_life_s = service->mean_life_s > 0 ? fade_to(service->mean_life_s, life, 0.1) : life;
-        if (!noted_quality && running) p.observe(*this, 0);  // no quality note in its life: it was served in full
+        if (!noted_quality && running)
+            p.observe(*this, 0);  // no quality note in its life: it was served in full
     }
     if (!was_placed && !proves_not_run(how) && !first_maybe) {
         first_maybe = &m;
         first_maybe_at = sent;
     }
+    if (why == Reason::evicted) machine_memory(now, 0, 1);
     p.leave(now, *this);
     if (how == Ending::refused) {
         if (why == Reason::no_cores || why == Reason::no_memory) {
@@ -380,8 +376,9 @@
             m.blocked_until = now + kFullLineHolds;
             m.line = std::max(1.0, m.line / 2);
         } else if (why == Reason::untold) {
-            // Guards against a machine that turns away what it has room for and gives no reason: nothing in its report
-            // or the view will show it. Counted like a failed start, which heals; harms little, since others have room.
+            // Guards against a machine that turns away what it has room for: nothing in its report or the
+            // view will show it. Counted like a failed start, which heals; harms little, since others have
+            // room.
             m.failed.add(now, 1);
         } else if (!first_maybe) {
             m.blocked_until = now + kNotHereHolds;
@@ -392,20 +389,14 @@
         m.failed.add(now, 1);
         turned_down.push_back(&m);
     }
-    if (why == Reason::evicted) {
-        m.memory_used = 1;
-        m.memory_noted = now;
-    }
-    if (closed) {
-        p.settle(*this);
-        return;
-    }
+    if (closed) p.settle(*this);
     if (settled) return;
     placed = running = false;
-    const QueueGroup& g = p.groups_[static_cast<std::size_t>(asked.group)];
-    const bool again = launches < p.launch_.most && now < until &&
-                       !(first_maybe && (g.effect == Effect::side_effecting ||
-                                         (g.effect == Effect::fingerprinted && now - first_maybe_at >= g.repeat_window)));
+    const bool again =
+        launches < p.launch_.most && now < until &&
+        !(first_maybe &&
+          (group->effect == Effect::side_effecting ||
+           (group->effect == Effect::fingerprinted && now - first_maybe_at >= group->repeat_window)));
     if (!again) p.answer(now, *this);
     else p.enqueue(*this);
 }
@@ -419,7 +410,7 @@
     c.sent = now;
     Neighbour* n = find(m, c.service);
     if (!n) n = &m.neighbours.emplace_back(Neighbour{c.service, 0, 0, 0});
-    c.warm_start = n->running > 0 || (n->last_ran && now - n->last_ran < 5 * kSecond);
+    c.warm_start = n->running > 0 || (n->last_ran && now - n->last_ran < kProgramKept);
     ++n->containers;
     ++c.service->containers;
     if (!m.waiting++) m.waiting_since = now;
@@ -431,14 +422,12 @@
 
 void Placer::leave(Nanos now, Container& c) {
     Machine& m = *c.out;
-    if (Neighbour* n = find(m, c.service)) {
-        --n->containers;
-        if (c.running) {
-            --n->running;
-            n->last_ran = now;
-        }
-    }
-    std::erase_if(m.neighbours, [now](const Neighbour& n) { return !n.containers && now - n.last_ran > 15 * kSecond; });
+    Neighbour* n = find(m, c.service);
+    --n->containers;
+    n->running -= c.running;
+    if (c.running) n->last_ran = now;
+    std::erase_if(m.neighbours,
+                  [now](const Neighbour& n) { return !n.containers && now - n.last_ran > 15 * kSecond; });
     --c.service->containers;
     if (!c.placed) {
         --m.waiting;
@@ -453,44 +442,46 @@
 
 // ---------------------------------------------------------------- room
 
-constexpr int kViewLag = 6;             // tallies of own changes (1.5 s) that a late view is taken not to show yet
-constexpr double kMemoryFull = 0.88;    // from 92% of its memory a machine slows all it holds; leaves room for growth
-constexpr double kMemoryHard = 0.98;    // the least slowed machine with room may go so far: deferring costs more
-constexpr double kMemorySlope = 8;      // crowded memory slows by up to 70% within a tenth of its size
-constexpr double kUnknownUse = 0.7;     // use over asks before any note has come: between none of it and all of it
+constexpr Nanos kReportHolds = 3 * kSecond;  // use changes over some seconds; older reports mislead
+constexpr int kViewLag = 6;  // tallies of own changes (1.5 s) that a late view is taken not to show yet
+constexpr double kMemoryFull = 0.88;  // from 92% a machine slows all it holds; leaves room for growth
+constexpr double kMemoryHard = 0.98;  // for the least slowed with room: deferring costs more
+constexpr double kMemorySlope = 8;    // crowded memory slows by up to 70% within a tenth of its size
+constexpr double kUnknownUse = 0.7;   // use over asks before any note: between none and all of it
 
 double Placer::cores_share(Nanos now, Machine& m, double extra) const {
-    const MachineKind& kind = kinds_[static_cast<std::size_t>(m.listed.kind)];
     const double ratio = ask_cores_ > 0 ? use_cores_ / ask_cores_ : kUnknownUse;
     const double recent = m.new_cores.sum(now, kViewLag);
-    double used = (kind.cores - m.listed.free_cores + recent) * ratio;
-    if (m.reported_at && now - m.reported_at < kSecond) {
+    double used = (m.size->cores - m.listed.free_cores + recent) * ratio;
+    if (m.reported_at && now - m.reported_at < kReportHolds) {
         const double late = m.new_cores.sum(now, 3) * ratio;
-        if (m.report.has_busy) used = std::max(used, m.report.busy * kind.cores + late);
+        if (m.report.has_busy) used = std::max(used, m.report.busy * m.size->cores + late);
         else if (accepts_.reports_use && m.report.has_free_cores)
-            used = std::max(used, kind.cores - m.report.free_cores + late);
+            used = std::max(used, m.size->cores - m.report.free_cores + late);
     }
-    return (used + extra * ratio) / kind.cores;
+    return (used + extra * ratio) / m.size->cores;
 }
 
 double Placer::memory_share(Nanos now, Machine& m, double extra) const {
-    const MachineKind& kind = kinds_[static_cast<std::size_t>(m.listed.kind)];
     const double ratio = ask_memory_ > 0 ? use_memory_ / ask_memory_ : kUnknownUse;
-    double used = (kind.memory - m.listed.free_memory + m.new_memory.sum(now, kViewLag)) * ratio;
-    if (accepts_.reports_use && m.report.has_free_memory && m.reported_at && now - m.reported_at < kSecond)
-        used = std::max(used, kind.memory - m.report.free_memory + m.new_memory.sum(now, 3) * ratio);
-    if (m.memory_noted && now - m.memory_noted < 2 * kSecond) used = std::max(used, m.memory_used * kind.memory);
-    return (used + extra * ratio) / kind.memory;
+    double used = (m.size->memory - m.listed.free_memory + m.new_memory.sum(now, kViewLag)) * ratio;
+    if (accepts_.reports_use && m.report.has_free_memory && m.reported_at &&
+        now - m.reported_at < kReportHolds)
+        used = std::max(used, m.size->memory - m.report.free_memory + m.new_memory.sum(now, 3) * ratio);
+    if (m.memory_noted && now - m.memory_noted < 2 * kSecond)
+        used = std::max(used, m.memory_used * m.size->memory);
+    return (used + extra * ratio) / m.size->memory;
 }
 
 bool Placer::has_room(Nanos now, const Container& c, Machine& m) const {
     if (now < m.blocked_until || m.waiting >= m.line) return false;
-    if (m.waiting && now - m.waiting_since > std::max(kSilentAtLeast, nanos(kSilent * answer_s_))) return false;
-    if (now < m.refused_until && (c.asked.cores >= m.refused_cores || c.asked.memory >= m.refused_memory)) return false;
-    const MachineKind& kind = kinds_[static_cast<std::size_t>(m.listed.kind)];
-    const double cores = m.listed.free_cores + (accepts_.cores_multiple - 1) * kind.cores -
-                         m.new_cores.sum(now, kViewLag);
-    const double memory = m.listed.free_memory + (accepts_.memory_multiple - 1) * kind.memory -
+    if (m.waiting && now - m.waiting_since > std::max(kSilentAtLeast, nanos(kSilent * answer_s_)))
+        return false;
+    if (now < m.refused_until && (c.asked.cores >= m.refused_cores || c.asked.memory >= m.refused_memory))
+        return false;
+    const double cores =
+        m.listed.free_cores + (accepts_.cores_multiple - 1) * m.size->cores - m.new_cores.sum(now, kViewLag);
+    const double memory = m.listed.free_memory + (accepts_.memory_multiple - 1) * m.size->memory -
                           m.new_memory.sum(now, kViewLag);
     return c.asked.cores <= cores && c.asked.memory <= memory &&
            memory_share(now, m, c.asked.memory) <= kMemoryHard;
@@ -498,92 +489,90 @@
 
 // ---------------------------------------------------------------- young machines
 
-// The design's ramp. The stated number of offers in a window that a cold machine always bears, from all placers
-// together, is shared out evenly, and a placer never spends more than half of its part.
+// The design's ramp. The stated number of offers in a window that a cold machine always bears, from all
+// placers together, is shared out evenly, and a placer never spends more than half of its part.
 bool Placer::young(Nanos now, const Machine& m) const {
     return m.listed.started > 0 && now - m.listed.started < cold_.warm_after + cold_.window;
 }
 
 bool Placer::young_bears(Nanos now, Machine& m) const {
     const double part = cold_.always_borne / cold_.placers * 0.5;
-    const int buckets = static_cast<int>(std::min<Nanos>(16, (cold_.window + kYoungTally - 1) / kYoungTally + 1));
+    const int buckets =
+        static_cast<int>(std::min<Nanos>(16, (cold_.window + kYoungTally - 1) / kYoungTally + 1));
     if (part >= 1) return m.offers.sum(now, buckets) + 1 <= part;
-    return m.offers.sum(now, 16) < 1 && static_cast<double>(chance_.max()) > 0;
+    return m.offers.sum(now) < 1;
 }
 
 // ---------------------------------------------------------------- choosing
 
-// Share of this placer's late launches at a machine that went wrong. Guards against machines that fail starts, stand
-// still, are cut off or lose what they hold; heals when the tally has turned over. It is added as slow-down (launches
-// needed for one start, less one), so that a fleet in which all look bad is still used, least bad first.
+// Share of this placer's late launches at a machine that went wrong. Guards against machines that fail
+// starts, stand still, are cut off or lose what they hold; heals when the tally has turned over. It is added
+// as slow-down (launches needed for one start, less one), so that a fleet in which all look bad is still
+// used, least bad first.
 double Placer::failing(Nanos now, Machine& m) const {
     const double bad = m.failed.sum(now);
     return bad <= 0 ? 0 : bad / (bad + m.begun.sum(now) + 1);
 }
 
+double excess(Nanos now, const Machine& m) {
+    return m.excess > 0 ? m.excess * std::exp2(-seconds(now - m.excess_at) / seconds(kExcessHalves)) : 0;
+}
+
 double Placer::slow_down(Nanos now, Container& c, Machine& m, double& start) {
-    const QueueGroup& g = groups_[static_cast<std::size_t>(c.asked.group)];
     double sum = predicted(m, *c.service);
-    // Departure (crowding): where running containers suddenly use more, the weights lag; what the machine is known to
-    // use then counts at once, by the queue group's own curve.
-    const double over = cores_share(now, m, c.asked.cores) - g.calm;
-    if (over > 0) sum += 1 / std::max(0.05, 1 - over / std::max(g.fade, 0.01)) - 1;
+    // Departure (crowding): where running containers suddenly use more, the weights lag; what the machine is
+    // known to use then counts at once, by the queue group's own curve.
+    const double over = cores_share(now, m, c.asked.cores) - c.group->calm;
+    if (over > 0) sum += 1 / std::max(0.05, 1 - over / std::max(c.group->fade, 0.01)) - 1;
     sum += kMemorySlope * std::max(0.0, memory_share(now, m, c.asked.memory) - kMemoryFull);
-    if (m.excess > 0)
-        sum += m.excess * std::exp2(-seconds(now - m.excess_at) / seconds(kExcessHalves));
-    const double f = failing(now, m);
-    sum += 1 / (1 - f) - 1;
+    sum += excess(now, m) + 1 / (1 - failing(now, m)) - 1;
     // Departure (cold starts): a start without the program is slow, which costs the worth of a start in time.
-    const Neighbour* n = find(m, c.service);
-    const bool warm = n && (n->containers > 0 || (n->last_ran && now - n->last_ran < 5 * kSecond));
-    const double life = c.asked.life_left > 0 ? seconds(c.asked.life_left)
-                        : c.service->mean_life_s > 0 ? c.service->mean_life_s : g.start_worth_s;
-    start = warm && !young(now, m) ? 0 : g.start_worth_s / std::max(0.1, g.start_worth_s + life);
+    const double life = c.asked.life_left > 0        ? seconds(c.asked.life_left)
+                        : c.service->mean_life_s > 0 ? c.service->mean_life_s
+                                                     : c.group->start_worth_s;
+    start = warm(now, m, c.service) && !young(now, m)
+                ? 0
+                : c.group->start_worth_s / std::max(0.1, c.group->start_worth_s + life);
     return sum;
 }
 
-constexpr Nanos kProgramKept = 5 * kSecond;  // machines keep a few programs for a while after their last container
-constexpr std::size_t kHomes = 2;            // a service has few containers at a placer; two homes outlive one's loss
-constexpr double kHomeCold = 0.5;            // others' containers of the service run at its home about as often as not
+constexpr std::size_t kHomes = 2;  // a service has few containers at a placer; two homes outlive one's loss
+constexpr double kHomeCold = 0.5;  // others' containers of the service run at its home about as often as not
 
-// Departure (machines in use have a price): the sample is drawn from the fewest machines that hold the present load with
-// room to spare, the fullest first, so that the others run empty. All placers see the same late view, so they agree.
-constexpr double kTargetFill = 0.85;                 // of what a machine may be filled to
+// Departure (machines in use have a price): the sample is drawn from the fewest machines that hold the
+// present load with room to spare, the fullest first, so that the others run empty. All placers see the same
+// late view, so they agree.
+constexpr double kTargetFill = 0.80;                 // of what a machine may be filled to
 constexpr Nanos kWorkingEvery = 250 * kMillisecond;  // the view moves about so often
 
 void Placer::choose_working(Nanos now) {
     next_working_ = now + kWorkingEvery;
-    struct Ranked {
-        Machine* m;
-        double fill;
-        double size;
-    };
-    std::vector<Ranked> ranked;
-    double load = 0;
+    std::vector<std::pair<double, Machine*>> ranked;  // by how full
+    double load = 0, all = 0, held = 0;
+    const auto asked = [](double size, double free, double times) { return (size - free) / (times * size); };
     for (Machine* m : fleet_) {
         if (m->listed.stage != Stage::serving) continue;
-        const MachineKind& kind = kinds_[static_cast<std::size_t>(m->listed.kind)];
-        const double asked_cores = (kind.cores - m->listed.free_cores) / (accepts_.cores_multiple * kind.cores);
-        const double asked_memory = (kind.memory - m->listed.free_memory) / (accepts_.memory_multiple * kind.memory);
-        const double fill = std::max({asked_cores, asked_memory, cores_share(now, *m, 0) / 0.8,
-                                      memory_share(now, *m, 0) / kMemoryFull});
-        ranked.push_back({m, fill, kind.cores});
-        load += fill * kind.cores;
+        const double fill =
+            std::max({asked(m->size->cores, m->listed.free_cores, accepts_.cores_multiple),
+                      asked(m->size->memory, m->listed.free_memory, accepts_.memory_multiple),
+                      cores_share(now, *m, 0) / calm_, memory_share(now, *m, 0) / kMemoryFull});
+        ranked.emplace_back(fill, m);
+        load += fill * m->size->cores;
+        all += m->size->cores;
     }
-    std::stable_sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) { return a.fill > b.fill; });
-    double held = 0, all = 0;
-    for (const Ranked& r : ranked) all += r.size;
+    std::stable_sort(ranked.begin(), ranked.end(), [](auto& a, auto& b) { return a.first > b.first; });
     fleet_fill_ = load / std::max(all, 1e-9);
-    int extra = now < short_until_ ? widen_ : 0;
     if (now >= short_until_) widen_ = 0;
-    for (Ranked& r : ranked) {
-        r.m->working = prices_.machines_in_use <= 0 || held < load || extra-- > 0;
-        if (failing(now, *r.m) < 0.2 && r.m->excess < kBound) held += r.size * kTargetFill;
+    int extra = widen_;
+    for (auto& [fill, m] : ranked) {
+        m->working = prices_.machines_in_use <= 0 || held < load || extra-- > 0;
+        if (failing(now, *m) < 0.2 && excess(now, *m) < kBound) held += m->size->cores * kTargetFill;
     }
 }
 
-// Departure (cold starts): placers cannot tell each other where a service runs. So each ranks the machines for it in
-// the same mixed order, made from marks that mean nothing in themselves, and the first of that order join the sample.
+// Departure (cold starts): placers cannot tell each other where a service runs. So each ranks the machines
+// for it in the same mixed order, made from marks that mean nothing in themselves, and the first of that
+// order join the sample.
 std::uint64_t home_order(const Service& s, const Machine& m) {
     std::uint64_t x = s.mark ^ (m.mark * 0x9e3779b97f4a7c15u);
     x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9u;
@@ -594,14 +583,13 @@
 Machine* Placer::pick(Nanos now, Container& c, bool under_bound) {
     std::vector<Machine*> fit;
     for (Machine* m : fleet_)
-        if ((m->working || !under_bound) && may_bind(now, c, *m) && (!young(now, *m) || young_bears(now, *m)) &&
-            std::find(c.turned_down.begin(), c.turned_down.end(), m) == c.turned_down.end() && has_room(now, c, *m))
+        if ((m->working || !under_bound) && may_bind(now, c, *m) &&
+            (!young(now, *m) || young_bears(now, *m)) &&
+            std::find(c.turned_down.begin(), c.turned_down.end(), m) == c.turned_down.end() &&
+            has_room(now, c, *m))
             fit.push_back(m);
-    const auto warm = [&](Machine* m) {
-        const Neighbour* n = find(*m, c.service);
-        return n && (n->containers > 0 || (n->last_ran && now - n->last_ran < kProgramKept));
-    };
-    const auto home = std::stable_partition(fit.begin(), fit.end(), warm);
+    const auto home =
+        std::stable_partition(fit.begin(), fit.end(), [&](Machine* m) { return warm(now, *m, c.service); });
     std::sort(home, fit.end(), [&](const Machine* a, const Machine* b) {
         return home_order(*c.service, *a) < home_order(*c.service, *b);
     });
@@ -625,63 +613,66 @@
     return best;
 }
 
-// Departure (moves): a bind is for life, but the machine may turn bad after it: its containers use more, another program
-// shares it, it slows. Where quality notes say so and a clean machine has room, the container that frees most is moved,
-// if what is won, in seconds of service, is worth more than the stated price. Only idempotent ones: a moved container
-// has run. Could waste starts where the trouble is about to end; so one a second for each machine.
-constexpr Nanos kMoveEvery = kSecond;   // quality notes come once a second: see what one move did before the next
-constexpr double kMoveFrom = 0.25;      // slow-down: served four fifths; less is within what a start costs
-constexpr double kMoveGain = 1.5;       // the gain is an estimate; it must be clear
+// Departure (moves): a bind is for life, but the machine may turn bad after it: its containers use more,
+// another program shares it, it slows. Where quality notes say so and a clean machine has room, the container
+// that frees most is moved, if what is won, in seconds of service, is worth more than the stated price. Only
+// idempotent ones: a moved container has run. Could waste starts where the trouble is about to end; so one a
+// second for each machine.
+constexpr Nanos kMoveEvery = kSecond;  // as notes come: see what one move did before the next
+constexpr double kMoveFrom = 0.25;     // slow-down: served four fifths; less is within what a start costs
+constexpr double kMoveGain = 1.5;      // the gain is an estimate; it must be clear
 
-constexpr double kMoveBelow = 0.8;      // fuller than this, a move only carries the crowding elsewhere
+constexpr double kMoveBelow = 0.8;  // fuller than this, a move only carries the crowding elsewhere
 
 void Placer::relieve(Nanos now) {
     if (fleet_fill_ > kMoveBelow) return;
     for (Machine* m : fleet_) {
-        if (m->excess < kMoveFrom || now - m->excess_at > kMoveEvery || now - m->relieved_at < kMoveEvery) continue;
+        if (m->excess < kMoveFrom || now - m->excess_at > kMoveEvery || now - m->relieved_at < kMoveEvery)
+            continue;
         m->relieved_at = now;
         const double lost = 1 - 1 / (1 + m->excess);
-        const MachineKind& kind = kinds_[static_cast<std::size_t>(m->listed.kind)];
         Container* best = nullptr;
         double best_gain = 0;
         for (const auto& held : containers_) {
             Container& c = *held;
-            const QueueGroup& g = groups_[static_cast<std::size_t>(c.asked.group)];
-            if (c.out != m || !c.running || c.settled || g.effect != Effect::idempotent) continue;
+            if (c.out != m || !c.running || c.settled || c.group->effect != Effect::idempotent) continue;
             const double used = c.cores_used > 0 ? c.cores_used : c.asked.cores;
-            const double life = std::max(1.0, c.service->mean_life_s > 0 ? c.service->mean_life_s / 2 : g.start_worth_s);
+            const double life = std::max(
+                1.0, c.service->mean_life_s > 0 ? c.service->mean_life_s / 2 : c.group->start_worth_s);
             const double others = m->own_cores / std::max(0.01, c.asked.cores) - 1;
-            const double freed = std::min(lost, used / kind.cores / std::max(0.05, g.fade));
+            const double freed = std::min(lost, used / m->size->cores / std::max(0.05, c.group->fade));
             const double gain = life * (lost + others * freed);
-            const double cost = prices_.moves * (2 * life + g.start_worth_s) + std::max(c.service->median_cold, 1.0);
+            const double cost =
+                prices_.moves * (2 * life + c.group->start_worth_s) + std::max(c.service->median_cold, 1.0);
             if (gain > kMoveGain * cost && gain > best_gain) {
                 best = &c;
                 best_gain = gain;
             }
         }
         if (!best) continue;
-        Container probe = *best;  // would it find a clean machine?
-        probe.out = nullptr;
-        probe.settled = false;
-        probe.launches = 0;
-        probe.until = now + kSecond;
-        probe.turned_down = {m};
-        if (!pick(now, probe, true)) continue;
+        Container twin = *best;  // would it find a clean machine?
+        twin.out = nullptr;
+        twin.launches = 0;
+        twin.until = now + kSecond;
+        twin.turned_down = {m};
+        if (!pick(now, twin, true)) continue;
         best->settled = true;
         port_.move(*best);
     }
 }
 
-// Where reports come with probes only, the machine heard of longest ago is probed, so often that a probe's price stays a
-// small part of what a container is worth. Guards against use that the view, which shows only asks, cannot show.
-constexpr Nanos kHeardOf = 400 * kMillisecond;        // reports are refreshed about so often
+// Where reports come with probes only, the machine heard of longest ago is probed, so often that a probe's
+// price stays a small part of what a container is worth. Guards against use that the view, which shows only
+// asks, cannot show.
+constexpr Nanos kHeardOf = 400 * kMillisecond;  // reports are refreshed about so often
 
 void Placer::look(Nanos now) {
     if (!accepts_.reports_on_probe || probes_due_ < 1) return;
     Machine* oldest = nullptr;
     for (Machine* m : fleet_)
-        if (m->listed.stage == Stage::serving && (!oldest || std::max(m->probed_at, m->reported_at) <
-                                                                 std::max(oldest->probed_at, oldest->reported_at)))
+        if (m->listed.stage == Stage::serving &&
+            (!oldest ||
+             std::max(m->probed_at, m->reported_at) < std::max(oldest->probed_at, oldest->reported_at)))
             oldest = m;
     if (!oldest || now - std::max(oldest->probed_at, oldest->reported_at) < kHeardOf) return;
     oldest->probed_at = now;
@@ -691,15 +682,14 @@
 
 // ---------------------------------------------------------------- rounds
 
-constexpr Nanos kRoundGap = 40 * kMillisecond;  // a requeued container's next round: a small part of any start target
-constexpr double kGiveUp = 0.5;                 // of the queue timeout: tried so long without a machine, it is answered
+constexpr Nanos kRoundGap = 40 * kMillisecond;  // to the next round: a small part of a start target
+constexpr double kGiveUp = 0.5;  // of the queue timeout: tried so long without a machine, it is answered
 
-// A launch that says nothing is given up so that another still fits, but never before many times the usual answer:
-// a hasty time-out leaves a copy. A container whose repeat could do harm waits for its queue timeout.
+// A launch that says nothing is given up so that another still fits, but never before many times the usual
+// answer: a hasty time-out leaves a copy. A container whose repeat could do harm waits for its queue timeout.
 Nanos Placer::time_out(Nanos now, const Container& c) const {
-    const QueueGroup& g = groups_[static_cast<std::size_t>(c.asked.group)];
     const Nanos left = c.until - now;
-    if (g.effect == Effect::side_effecting || c.launches + 1 >= launch_.most) return left;
+    if (c.group->effect == Effect::side_effecting || c.launches + 1 >= launch_.most) return left;
     const double usual = std::max(8 * answer_s_, accepts_.yes_on_running ? seconds(left) * 0.6 : 0.8);
     const Nanos wait = nanos(usual);
     return wait > left * 7 / 10 ? left : wait;
@@ -708,10 +698,10 @@
 void Placer::launch(Nanos now, Container& c, Machine& m) {
     settle(c);
     c.settled = false;
+    const Nanos wait = time_out(now, c);
     put(now, c, m);
     ++c.launches;
     if (young(now, m)) m.offers.add(now, 1);
-    const Nanos wait = time_out(now, c);
     port_.bind(c, m, wait);
 }
 
@@ -724,7 +714,6 @@
 void Placer::round(Nanos now) {
     if (retry_list_ && now >= retry_list_) {
         retry_list_ = 0;
-        asked_list_ = now;
         port_.follow_list();
     }
     relieve(now);
@@ -738,7 +727,8 @@
         c->order = cores / std::max(kLeastSlowDown, s.mean_value);
         due.push_back(c);
     }
-    std::stable_sort(due.begin(), due.end(), [](const Container* a, const Container* b) { return a->order > b->order; });
+    std::stable_sort(due.begin(), due.end(),
+                     [](const Container* a, const Container* b) { return a->order > b->order; });
     for (Container* c : due) {
         if (now >= c->not_before) {
             Machine* m = pick(now, *c, true);
--- a/tests/placer_test.cpp
+++ b/tests/placer_test.cpp
@@ -33,13 +33,13 @@
 }
 
 TEST_CASE("a container whose owner saw a launch fail is answered by what may have run") {
-    const auto [effect, scope, how, answer] =
-        GENERATE(table<Effect, Place, Ending, char>({{Effect::side_effecting, Place::all, Ending::timed_out, 'k'},
-                                                     {Effect::side_effecting, Place::all, Ending::unknown, 'k'},
-                                                     {Effect::side_effecting, Place::all, Ending::refused, 'd'},
-                                                     {Effect::fingerprinted, Place::all, Ending::error, 'd'},
-                                                     {Effect::fingerprinted, Place::cell, Ending::error, 'k'},
-                                                     {Effect::idempotent, Place::all, Ending::error, 'd'}}));
+    const auto [effect, scope, how, answer] = GENERATE(
+        table<Effect, Place, Ending, char>({{Effect::side_effecting, Place::all, Ending::timed_out, 'k'},
+                                            {Effect::side_effecting, Place::all, Ending::unknown, 'k'},
+                                            {Effect::side_effecting, Place::all, Ending::refused, 'd'},
+                                            {Effect::fingerprinted, Place::all, Ending::error, 'd'},
+                                            {Effect::fingerprinted, Place::cell, Ending::error, 'k'},
+                                            {Effect::idempotent, Place::all, Ending::error, 'd'}}));
     Stand t({group(effect, scope)}, Stand::usual_cold(), {}, 1);
     t.machine();
     Container& c = t.bound(t.placer.meet_service(1));
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -1,6 +1,6 @@
-// A slow, plain model of the rules beside the module on generated days: each bind and answer must be one it allows.
+// A slow, plain model of the rules beside the module on generated days: each bind and answer must be one it
+// allows.
 #include <catch2/catch.hpp>
-
 #include <map>
 
 #include "stand.h"
@@ -55,7 +55,8 @@
             int there = 0;
             for (const auto& [c, all] : launches)
                 for (const Launch& l : all)
-                    there += l.out && c->service == s.container->service && same(*l.machine, *s.machine, g.spread);
+                    there +=
+                        l.out && c->service == s.container->service && same(*l.machine, *s.machine, g.spread);
             REQUIRE(there <= g.most);
         }
         if (s.machine->listed.started && t.now - s.machine->listed.started < cold.warm_after) {
@@ -69,10 +70,12 @@
     void check_answer(const Seen& s) {
         const QueueGroup& g = groups[static_cast<std::size_t>(s.container->asked.group)];
         REQUIRE(answers.emplace(s.container, s.what).second);
-        REQUIRE(told_before <= s.container->until);  // at the first moment it was told of after the queue timeout
+        REQUIRE(told_before <=
+                s.container->until);  // at the first moment it was told of after the queue timeout
         if (s.what != 'd' || g.effect == Effect::idempotent) return;
         for (const Launch& l : launches[s.container])
-            REQUIRE((l.proven || (g.effect == Effect::fingerprinted && g.repeats_dropped_by == Place::all && !l.out)));
+            REQUIRE((l.proven ||
+                     (g.effect == Effect::fingerprinted && g.repeats_dropped_by == Place::all && !l.out)));
     }
     void catch_up() {
         for (; read < t.seen.size(); ++read) {
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -1,16 +1,17 @@
-#include <catch2/catch.hpp>
+#include "wire.h"
 
+#include <catch2/catch.hpp>
 #include <sstream>
 
-#include "wire.h"
-
 using whinpost::drill::Session;
 
 namespace {
 
 const std::string kInit =
-    "INIT 5 balancers=2 classes.count=1 classes.0.aim_us=500000 classes.0.semantics=guarded classes.0.key_scope=cell "
-    "classes.0.repeat_window_us=4000000 contract.cold_from=0.5 contract.cold_us=1000000 contract.fall_multiple=2 "
+    "INIT 5 balancers=2 classes.count=1 classes.0.aim_us=500000 classes.0.semantics=guarded "
+    "classes.0.key_scope=cell "
+    "classes.0.repeat_window_us=4000000 contract.cold_from=0.5 contract.cold_us=1000000 "
+    "contract.fall_multiple=2 "
     "contract.fall_us=1000000 discovery=on_request contract.ask_every_us=9000000 family_info.accepts_cores=2 "
     "family_info.memory_multiple=1.5 family_info.yes_at=accepted family_info.cpu_of_kind=8 "
     "family_info.size_memory=16 limits.send_cap=3 zones=north zone=0 brand_new_key=1";
@@ -27,7 +28,8 @@
 
 std::string started(const std::string& rest) {
     return talk("CLOCK 1000\nINSTANCE 4\n" + kInit +
-                "\nPOOL 0 1\nM h:1 0 0 16 0 8 SERVING 1 -\nROSTER_CHANGE Persisted 1 0\n" + rest + "YOUR_TURN\n");
+                "\nPOOL 0 1\nM h:1 0 0 16 0 8 SERVING 1 -\nROSTER_CHANGE Persisted 1 0\n" + rest +
+                "YOUR_TURN\n");
 }
 
 const std::string kArrival = "ARRIVAL 77 - 4000000 1 svc - 0 2 t:k 0\n";
