--- a/include/whinpost/placer.h
+++ b/include/whinpost/placer.h
@@ -210,6 +210,9 @@
     bool in_queue = false;
 };
 
+// The order in which every placer ranks machines as homes of a service.
+std::uint64_t home_order(const Service&, const Machine&);
+
 class Placer {
 public:
     Placer(Port&, std::uint64_t seed, int zone, std::vector<QueueGroup>, std::vector<MachineKind>, Acceptance,
--- a/tests/placer_test.cpp
+++ b/tests/placer_test.cpp
@@ -88,3 +88,87 @@
     CHECK(t.count('f') >= 10);
     CHECK(t.count('f') <= 20);
 }
+
+TEST_CASE("a refusal without a reason counts against the machine, and heals") {
+    Stand t;
+    Machine &liar = t.machine(), &other = t.machine();
+    Service& s = t.placer.meet_service(1);
+    t.entry(other, {0, 0, 0, 16, 32, Stage::draining, 0});
+    Container& first = t.bound(s);
+    REQUIRE(first.out == &liar);
+    t.entry(other, {0, 0, 0, 16, 32, Stage::serving, 0});
+    t.end(first, Ending::refused);
+    for (int i = 0; i < 6; ++i) CHECK(t.bound(s).out == &other);
+    t.pass(5 * kSecond);
+    CHECK(liar.failed.sum(t.now) == 0);
+}
+
+TEST_CASE("a silent machine holds few launches, and a full line halves what it may hold") {
+    Stand t;
+    Machine& m = t.machine();
+    Service& s = t.placer.meet_service(1);
+    for (int i = 0; i < 30; ++i) t.bound(s);
+    CHECK(m.waiting == 8);
+    t.end(*t.seen.front().container, Ending::refused, Reason::queue_full);
+    CHECK(m.line == 4);
+    t.pass(kSecond);
+    CHECK(m.waiting == 7);  // nothing more while it owes answers
+}
+
+TEST_CASE("only idempotent containers move, off a machine called bad, while a clean one has room") {
+    const Effect effect = GENERATE(Effect::idempotent, Effect::fingerprinted, Effect::side_effecting);
+    QueueGroup g = group(effect);
+    g.start_worth_s = 10;
+    Stand t({g});
+    Machine &bad = t.machine(), &clean = t.machine();
+    Service& s = t.placer.meet_service(1);
+    t.entry(clean, {0, 0, 0, 16, 32, Stage::draining, 0});
+    std::vector<Container*> held;
+    for (int i = 0; i < 6; ++i) {
+        held.push_back(&t.bound(s));
+        held.back()->accepted(t.now, 0);
+        held.back()->runs(t.now, 0);
+    }
+    REQUIRE(held[0]->out == &bad);
+    t.entry(clean, {0, 0, 0, 16, 32, Stage::serving, 0});
+    t.pass(2 * kSecond);
+    held[0]->served_share(t.now, 0, 0.3);
+    t.pass(500 * kMillisecond);
+    CHECK(t.count('m') == (effect == Effect::idempotent ? 1 : 0));
+}
+
+TEST_CASE("every placer ranks the homes of a service alike, whatever order it met them in") {
+    Stand a, b;
+    Service &sa = a.placer.meet_service(99), &sb = b.placer.meet_service(99);
+    std::vector<std::uint64_t> marks = {11, 22, 33, 44, 55};
+    for (int i = 0; i < 5; ++i) {
+        Machine& ma = a.placer.meet_machine(marks[static_cast<std::size_t>(i)]);
+        Machine& mb = b.placer.meet_machine(marks[static_cast<std::size_t>(4 - i)]);
+        a.entry(ma, {0, 0, 0, 16, 32, Stage::serving, 0});
+        b.entry(mb, {0, 0, 0, 16, 32, Stage::serving, 0});
+    }
+    CHECK(home_order(sa, *a.bound(sa).out) == home_order(sb, *b.bound(sb).out));
+}
+
+TEST_CASE("an outcome after the end, a yes after the end and a second end change nothing") {
+    Stand t;
+    Machine& m = t.machine();
+    Container& c = t.bound(t.placer.meet_service(1));
+    c.withdrawn(t.now);
+    c.accepted(t.now, 0);
+    t.end(c, Ending::cancelled);
+    CHECK(c.finished());
+    t.end(c, Ending::served);
+    c.served_share(t.now, 0, 0.1);
+    CHECK(t.count('d') + t.count('k') == 0);
+    CHECK(m.own_cores == Approx(0));
+    CHECK(m.waiting == 0);
+}
+
+TEST_CASE("with no machine at all a container still gets its answer in time") {
+    Stand t;
+    Container& c = t.take(t.placer.meet_service(1));
+    t.pass(4 * kSecond);
+    CHECK(c.settled);
+    CHECK(t.count('d') == 1);
+}
