Tally failed starts for each queue group

Guards also against machines that lack what one group needs; a group with few containers learns slower.

--- a/include/whinpost/placer.h
+++ b/include/whinpost/placer.h
@@ -137,13 +137,13 @@
     Nanos refused_until = 0;
     std::vector<Neighbour> neighbours;
     double own_cores = 0, own_memory = 0;
-    Ring<16> new_cores, new_memory;  // own change that the view cannot show yet
-    Ring<16> failed, begun;          // launches of this placer, by how they went
-    Ring<16> offers;                 // binds while young
-    int waiting = 0;                 // launches without an answer yet
-    Nanos waiting_since = 0;         // since the first of them, or the last answer
-    double line;                     // how many may wait at once
-    double excess = 0;               // observed slow-down beyond the predicted, newest first
+    Ring<16> new_cores, new_memory;       // own change that the view cannot show yet
+    std::vector<Ring<16>> failed, begun;  // launches of this placer, by queue group and how they went
+    Ring<16> offers;                      // binds while young
+    int waiting = 0;                      // launches without an answer yet
+    Nanos waiting_since = 0;              // since the first of them, or the last answer
+    double line;                          // how many may wait at once
+    double excess = 0;                    // observed slow-down beyond the predicted, newest first
     Nanos excess_at = 0;
     double memory_used = 0;  // noted share, and when
     Nanos memory_noted = 0;
@@ -249,7 +249,7 @@
     void relieve(Nanos now);
     void look(Nanos now);
     double slow_down(Nanos now, Container&, Machine&, double& start);
-    double failing(Nanos now, Machine&) const;
+    double failing(Nanos now, Machine&, std::size_t group) const;
     bool young(Nanos now, const Machine&) const;
     bool young_bears(Nanos now, Machine&) const;
     bool has_room(Nanos now, const Container&, Machine&) const;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -3,7 +3,6 @@
 // Port. Interface and plain types: include/whinpost/placer.h. The design: docs/design.md.
 #include <algorithm>
 #include <cmath>
-#include <string>
 
 #include "whinpost/placer.h"
 
@@ -45,8 +44,7 @@
 constexpr double kLine = 8;  // unanswered launches at one machine, at first: a short line, shared
 
 Machine::Machine(int number_, std::uint64_t mark_)
-    : number(number_), mark(mark_), new_cores(kTally), new_memory(kTally), failed(kTally), begun(kTally),
-      offers(kYoungTally), line(kLine) {}
+    : number(number_), mark(mark_), new_cores(kTally), new_memory(kTally), offers(kYoungTally), line(kLine) {}
 
 Placer::Placer(Port& port, std::uint64_t seed, int zone, std::vector<QueueGroup> groups,
                std::vector<MachineKind> kinds, Acceptance accepts, ColdTerms cold, ListTerms list,
@@ -58,7 +56,9 @@
 }
 
 Machine& Placer::meet_machine(std::uint64_t mark) {
-    return machines_.emplace_back(static_cast<int>(machines_.size()), mark);
+    Machine& m = machines_.emplace_back(static_cast<int>(machines_.size()), mark);
+    m.failed = m.begun = std::vector<Ring<16>>(groups_.size(), Ring<16>(kTally));
+    return m;
 }
 Service& Placer::meet_service(std::uint64_t mark) {
     Service& s = services_.emplace_back(static_cast<int>(services_.size()), mark);
@@ -76,7 +76,7 @@
     named_.push_back(&m);
     if (!m.known) fleet_.push_back(&m);
     if (m.known && entry.started > m.listed.started) {  // started anew: it holds and knows nothing
-        m.failed.clear();
+        for (Ring<16>& r : m.failed) r.clear();
         m.excess = m.memory_used = 0;
         for (Neighbour& n : m.neighbours) n.last_ran = 0;
     }
@@ -322,7 +322,7 @@
 void Placer::started(Nanos now, Container& c) {
     c.running = true;
     Neighbour* n = find(*c.out, c.service);
-    c.out->begun.add(now, 1);
+    c.out->begun[static_cast<std::size_t>(c.asked.group)].add(now, 1);
     ++n->running;
     n->last_ran = now;
     Service& s = *c.service;
@@ -379,14 +379,14 @@
             // Guards against a machine that turns away what it has room for: nothing in its report or the
             // view will show it. Counted like a failed start, which heals; harms little, since others have
             // room.
-            m.failed.add(now, 1);
+            m.failed[static_cast<std::size_t>(asked.group)].add(now, 1);
         } else if (!first_maybe) {
             m.blocked_until = now + kNotHereHolds;
         }
         turned_down.push_back(&m);
     } else if (how == Ending::error || how == Ending::unconnected || how == Ending::timed_out ||
                (how == Ending::reset && (!was_placed || why == Reason::untold))) {
-        m.failed.add(now, 1);
+        m.failed[static_cast<std::size_t>(asked.group)].add(now, 1);
         turned_down.push_back(&m);
     }
     if (closed) p.settle(*this);
@@ -403,8 +403,6 @@
 
 void Container::withdrawn(Nanos) { placer->settle(*this); }
 
-// ---------------------------------------------------------------- where a container is
-
 void Placer::put(Nanos now, Container& c, Machine& m) {
     c.out = &m;
     c.sent = now;
@@ -505,13 +503,13 @@
 
 // ---------------------------------------------------------------- choosing
 
-// Share of this placer's late launches at a machine that went wrong. Guards against machines that fail
-// starts, stand still, are cut off or lose what they hold; heals when the tally has turned over. It is added
-// as slow-down (launches needed for one start, less one), so that a fleet in which all look bad is still
-// used, least bad first.
-double Placer::failing(Nanos now, Machine& m) const {
-    const double bad = m.failed.sum(now);
-    return bad <= 0 ? 0 : bad / (bad + m.begun.sum(now) + 1);
+// Share of this placer's late launches of a queue group at a machine that went wrong. Guards against machines
+// that fail starts, of one group or all, stand still, are cut off or lose what they hold; heals as the tally
+// turns over. It is added as slow-down (launches needed for one start, less one): where all look bad, the
+// least bad is still used.
+double Placer::failing(Nanos now, Machine& m, std::size_t group) const {
+    const double bad = m.failed[group].sum(now);
+    return bad <= 0 ? 0 : bad / (bad + m.begun[group].sum(now) + 1);
 }
 
 double excess(Nanos now, const Machine& m) {
@@ -525,7 +523,7 @@
     const double over = cores_share(now, m, c.asked.cores) - c.group->calm;
     if (over > 0) sum += 1 / std::max(0.05, 1 - over / std::max(c.group->fade, 0.01)) - 1;
     sum += kMemorySlope * std::max(0.0, memory_share(now, m, c.asked.memory) - kMemoryFull);
-    sum += excess(now, m) + 1 / (1 - failing(now, m)) - 1;
+    sum += excess(now, m) + 1 / (1 - failing(now, m, static_cast<std::size_t>(c.asked.group))) - 1;
     // Departure (cold starts): a start without the program is slow, which costs the worth of a start in time.
     const double life = c.asked.life_left > 0        ? seconds(c.asked.life_left)
                         : c.service->mean_life_s > 0 ? c.service->mean_life_s
@@ -566,7 +564,9 @@
     int extra = widen_;
     for (auto& [fill, m] : ranked) {
         m->working = prices_.machines_in_use <= 0 || held < load || extra-- > 0;
-        if (failing(now, *m) < 0.2 && excess(now, *m) < kBound) held += m->size->cores * kTargetFill;
+        double worst = 0;
+        for (std::size_t g = 0; g < groups_.size(); ++g) worst = std::max(worst, failing(now, *m, g));
+        if (worst < 0.2 && excess(now, *m) < kBound) held += m->size->cores * kTargetFill;
     }
 }
 
@@ -744,8 +744,7 @@
             c->turned_down.clear();
             c->not_before = now + kRoundGap;
         }
-        const Nanos patience = nanos(seconds(c->until - c->taken) * kGiveUp);
-        if (now >= c->taken + patience || now >= c->until) answer(now, *c);
+        if (now >= c->taken + nanos(seconds(c->until - c->taken) * kGiveUp)) answer(now, *c);
     }
     Nanos next = 0;
     for (Container* c : queue_)
--- a/tests/placer_test.cpp
+++ b/tests/placer_test.cpp
@@ -65,14 +65,14 @@
     Stand t;
     Machine &sick = t.machine(), &well = t.machine();
     Service& s = t.placer.meet_service(1);
-    for (int i = 0; i < 6; ++i) sick.failed.add(t.now, 1);
+    for (int i = 0; i < 6; ++i) sick.failed[0].add(t.now, 1);
     for (int i = 0; i < 8; ++i) CHECK(t.bound(s).out == &well);
     t.entry(well, {0, 0, 0, 16, 32, Stage::draining, 0});
     Container& c = t.take(s);
     t.pass(kSecond);
     CHECK(c.out == &sick);  // least bad where nothing else is left
     t.pass(5 * kSecond);
-    CHECK(sick.failed.sum(t.now) == 0);
+    CHECK(sick.failed[0].sum(t.now) == 0);
 }
 
 TEST_CASE("a failed call for the list is made again after a growing pause, never in a storm") {
@@ -100,7 +100,7 @@
     t.end(first, Ending::refused);
     for (int i = 0; i < 6; ++i) CHECK(t.bound(s).out == &other);
     t.pass(5 * kSecond);
-    CHECK(liar.failed.sum(t.now) == 0);
+    CHECK(liar.failed[0].sum(t.now) == 0);
 }
 
 TEST_CASE("a silent machine holds few launches, and a full line halves what it may hold") {
@@ -172,3 +172,12 @@
     CHECK(c.settled);
     CHECK(t.count('d') == 1);
 }
+
+TEST_CASE("a machine that fails one queue group's starts is not shielded by the other group's") {
+    Stand t({QueueGroup{}, QueueGroup{}});
+    Machine &half = t.machine(), &well = t.machine();
+    Service& s = t.placer.meet_service(1);
+    for (int i = 0; i < 40; ++i) half.begun[1].add(t.now, 1);
+    half.failed[0].add(t.now, 1);
+    for (int i = 0; i < 6; ++i) CHECK(t.bound(s, 0).out == &well);
+}
