Draw each service's sample by a chance that all placers share

Now the sample is drawn on a circle from the service's mark, in an order alike at every placer, weighed by how likely one of the placer's own would be there; no walk of the fleet per bind.

--- a/include/whinpost/placer.h
+++ b/include/whinpost/placer.h
@@ -110,6 +110,7 @@
     int number;
     std::uint64_t mark;  // says only that it is the same one, alike at every placer
     int containers = 0;
+    std::vector<Machine*> at;    // where it runs or lately ran, as far as this placer knows
     std::map<int, Pair> beside;  // by the neighbour's number
     double mean_value = 0, mean_cores = 0, cores_notes = 0;
     double mean_life_s = 0;
@@ -133,10 +134,12 @@
     Listed listed;
     const MachineKind* size = nullptr;
     bool known = false;       // in a list of this placer
+    int named_in = 0;         // the latest list that named it
     Nanos blocked_until = 0;  // it said that it would take nothing
     double refused_cores = 0, refused_memory = 0;
     Nanos refused_until = 0;
     std::vector<Neighbour> neighbours;
+    std::vector<Container*> held;  // launched or running here
     double own_cores = 0, own_memory = 0;
     Ring<16> new_cores, new_memory;       // own change that the view cannot show yet
     std::vector<Ring<16>> failed, begun;  // launches of this placer, by queue group and how they went
@@ -211,9 +214,6 @@
     bool in_queue = false;
 };
 
-// The order in which every placer ranks machines as homes of a service.
-std::uint64_t home_order(const Service&, const Machine&);
-
 class Placer {
 public:
     Placer(Port&, std::uint64_t seed, int zone, std::vector<QueueGroup>, std::vector<MachineKind>, Acceptance,
@@ -247,7 +247,7 @@
     void started(Nanos now, Container&);
     void observe(Container&, double slow_down);
     void choose_working(Nanos now);
-    void relieve(Nanos now);
+    void relieve(Nanos now, Machine&);
     void look(Nanos now);
     double slow_down(Nanos now, Container&, Machine&, double& start);
     double failing(Nanos now, Machine&, std::size_t group) const;
@@ -277,7 +277,9 @@
     std::list<Service> services_;
     std::list<std::unique_ptr<Container>> containers_;
     std::list<Container*> queue_;
-    std::vector<Machine*> named_;  // by the list being told
+    std::vector<std::pair<std::uint64_t, Machine*>> circle_;  // points of the serving machines, in order
+    bool stale_ = false;  // the circle, after a list that changed who serves
+    int lists_ = 1;       // told so far
     double mean_value_;
     double use_cores_ = 0, use_memory_ = 0, ask_cores_ = 0,
            ask_memory_ = 0;  // fading sums behind the use ratios
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -13,7 +13,8 @@
 constexpr double kCoefficient = 0.05;    // the design page's
 constexpr double kBound = 0.10;          // the paper's limit on slow-down
 constexpr double kLeastSlowDown = 0.01;  // the design page's floor in the order
-constexpr std::size_t kSample = 8;       // six is the design's start; two more, since some drop out for room
+constexpr std::size_t kSample = 8;       // six is the design's start; two more, to outlive lost machines
+constexpr std::uint64_t kPoints = 32;    // of a machine on the circle: its services fall to as many others
 constexpr double kPairPace = 0.2;        // a pair value is mostly its last ten observations
 constexpr std::size_t kMostPairs = 512;  // services known beside one other; bounds the tables
 constexpr std::size_t kWarmKept = 15;    // enough for a median that one odd start cannot move
@@ -24,6 +25,13 @@
 bool proves_not_run(Ending e) {
     return e == Ending::refused || e == Ending::unconnected || e == Ending::unsent;
 }
+// The same mixed number at every placer, for a mark that means nothing in itself.
+std::uint64_t mixed(std::uint64_t mark, std::uint64_t i) {
+    std::uint64_t x = mark ^ ((i + 1) * 0x9e3779b97f4a7c15u);
+    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9u;
+    x = (x ^ (x >> 27)) * 0x94d049bb133111ebu;
+    return x ^ (x >> 31);
+}
 Neighbour* find(Machine& m, const Service* s) {
     for (Neighbour& n : m.neighbours)
         if (n.service == s) return &n;
@@ -72,29 +80,35 @@
 }
 
 void Placer::list_entry(Nanos, Machine& m, const Listed& entry) {
-    named_.push_back(&m);
+    m.named_in = lists_;
     if (!m.known) fleet_.push_back(&m);
     if (m.known && entry.started > m.listed.started) {  // started anew: it holds and knows nothing
         for (Ring<16>& r : m.failed) r.clear();
         m.excess = m.memory_used = 0;
         for (Neighbour& n : m.neighbours) n.last_ran = 0;
     }
+    stale_ = stale_ || !m.known || m.listed.stage != entry.stage;
     m.known = true;
     m.listed = entry;
     m.size = &kinds_[static_cast<std::size_t>(entry.kind)];
 }
 
 void Placer::list_done(Nanos now, bool whole) {
-    if (whole)
-        for (Machine* m : fleet_)
-            if (std::find(named_.begin(), named_.end(), m) == named_.end()) m->listed.stage = Stage::gone;
-    named_.clear();
-    retry_gap_ = 0;
-    retry_list_ = 0;
-    std::erase_if(fleet_, [](Machine* m) {
+    for (Machine* m : fleet_) {
+        if (whole && m->named_in != lists_) m->listed.stage = Stage::gone;
         if (m->listed.stage == Stage::gone) m->known = false;
-        return !m->known;
-    });
+        stale_ = stale_ || !m->known;
+    }
+    ++lists_;
+    if (std::exchange(stale_, false)) {
+        std::erase_if(fleet_, [](Machine* m) { return !m->known; });
+        circle_.clear();
+        for (Machine* m : fleet_)
+            for (std::uint64_t i = 0; i < kPoints && m->listed.stage == Stage::serving; ++i)
+                circle_.emplace_back(mixed(m->mark, i), m);
+        std::sort(circle_.begin(), circle_.end(), [](auto& a, auto& b) { return a.first < b.first; });
+    }
+    retry_gap_ = retry_list_ = 0;
     next_working_ = now;
 }
 
@@ -157,8 +171,8 @@
     if (std::exchange(c.in_queue, false)) queue_.erase(c.queued);
 }
 
-// A deferral says that trying again is harmless. So it is given only while no launch may have run, or where
-// any machine would drop the repeat; else the answer is a kill, which promises nothing.
+// A deferral says that trying again is harmless: only while no launch may have run, or where any machine
+// would drop the repeat. Else the answer is a kill, which promises nothing.
 bool Placer::may_defer(const Container& c) const {
     if (c.out) return c.group->effect == Effect::idempotent;
     return !c.first_maybe || c.group->effect == Effect::idempotent ||
@@ -193,13 +207,11 @@
 
 int Placer::in_place(const Container& c, const Machine& m, Place place) const {
     int count = 0;
-    for (const Machine& other : machines_) {  // machines that left the list may still hold some
-        const bool same = place == Place::machine ? &other == &m
-                          : place == Place::cell  ? other.listed.cell == m.listed.cell
-                                                  : place == Place::all || other.listed.zone == m.listed.zone;
-        if (!same) continue;
-        for (const Neighbour& n : other.neighbours)
-            if (n.service == c.service) count += n.containers;
+    for (Machine* other : c.service->at) {  // machines that left the list may still hold some
+        if (place == Place::machine && other != &m) continue;
+        if (place == Place::cell && other->listed.cell != m.listed.cell) continue;
+        if (place == Place::zone && other->listed.zone != m.listed.zone) continue;
+        count += find(*other, c.service)->containers;
     }
     return count;
 }
@@ -227,31 +239,21 @@
 void Placer::observe(Container& c, double seen) {
     Machine& m = *c.out;
     Service& s = *c.service;
-    Service* only = nullptr;
-    int known = 0;
-    for (Neighbour& n : m.neighbours) {
-        if (n.containers - (n.service == &s) <= 0) continue;
-        ++known;
-        only = n.service;
-    }
+    std::vector<Pair*> known;
+    for (Neighbour& n : m.neighbours)
+        if (n.containers - (n.service == &s) > 0 &&
+            (s.beside.size() < kMostPairs || s.beside.contains(n.service->number)))
+            known.push_back(&s.beside.try_emplace(n.service->number, Pair{kStartingPair, 1.0}).first->second);
+    if (known.empty()) return;
     const double mine = std::max(0.0, m.own_cores - c.asked.cores);
     seen *= mine / std::max({mine, m.size->cores - m.listed.free_cores - c.asked.cores, 1e-9});
-    const auto pair = [&s](const Service* other) -> Pair* {
-        if (auto it = s.beside.find(other->number); it != s.beside.end()) return &it->second;
-        if (s.beside.size() >= kMostPairs) return nullptr;
-        return &s.beside.emplace(other->number, Pair{kStartingPair, 1.0}).first->second;
-    };
-    if (known == 1) {
-        if (Pair* p = pair(only)) p->value = std::max(0.0, fade_to(p->value, seen, kPairPace));
-    } else if (known > 1) {
-        const double error = seen - predicted(m, s);
-        for (Neighbour& n : m.neighbours)
-            if (n.containers - (n.service == &s) > 0)
-                if (Pair* p = pair(n.service)) p->weight = std::max(0.0, p->weight + kCoefficient * error);
-    }
-    if (!known) return;
-    s.mean_value = fade_to(s.mean_value, seen / known, kCoefficient);
-    mean_value_ = std::max(0.0, fade_to(mean_value_, seen / known, kCoefficient));
+    if (known.size() == 1) known[0]->value = std::max(0.0, fade_to(known[0]->value, seen, kPairPace));
+    const double error = seen - predicted(m, s);
+    for (Pair* p : known)
+        if (known.size() > 1) p->weight = std::max(0.0, p->weight + kCoefficient * error);
+    const double each = seen / static_cast<double>(known.size());
+    s.mean_value = fade_to(s.mean_value, each, kCoefficient);
+    mean_value_ = std::max(0.0, fade_to(mean_value_, each, kCoefficient));
 }
 
 // ---------------------------------------------------------------- what machines and owners tell
@@ -269,6 +271,7 @@
     out->excess = std::max(0.0, seen - p.predicted(*out, *service));
     out->excess_at = now;
     p.observe(*this, seen);
+    p.relieve(now, *out);
 }
 
 constexpr double kForget = 0.995;  // use over asks is that of the last few hundred notes
@@ -403,7 +406,11 @@
     c.out = &m;
     c.sent = now;
     Neighbour* n = find(m, c.service);
-    if (!n) n = &m.neighbours.emplace_back(Neighbour{c.service, 0, 0, 0});
+    if (!n) {
+        n = &m.neighbours.emplace_back(Neighbour{c.service, 0, 0, 0});
+        c.service->at.push_back(&m);
+    }
+    m.held.push_back(&c);
     c.warm_start = n->running > 0 || (n->last_ran && now - n->last_ran < kProgramKept);
     ++n->containers;
     ++c.service->containers;
@@ -420,8 +427,12 @@
     --n->containers;
     n->running -= c.running;
     if (c.running) n->last_ran = now;
-    std::erase_if(m.neighbours,
-                  [now](const Neighbour& n) { return !n.containers && now - n.last_ran > 15 * kSecond; });
+    std::erase(m.held, &c);
+    std::erase_if(m.neighbours, [now, &m](const Neighbour& n) {
+        if (n.containers || now - n.last_ran <= 15 * kSecond) return false;
+        std::erase(n.service->at, &m);
+        return true;
+    });
     --c.service->containers;
     if (!c.placed) {
         --m.waiting;
@@ -468,7 +479,8 @@
 }
 
 bool Placer::has_room(Nanos now, const Container& c, Machine& m) const {
-    if (now < m.blocked_until || m.waiting >= m.line) return false;
+    if (now < m.blocked_until || m.waiting >= m.line || (young(now, m) && !young_bears(now, m))) return false;
+    if (std::find(c.turned_down.begin(), c.turned_down.end(), &m) != c.turned_down.end()) return false;
     if (m.waiting && now - m.waiting_since > std::max(kSilentAtLeast, nanos(kSilent * answer_s_)))
         return false;
     if (now < m.refused_until && (c.asked.cores >= m.refused_cores || c.asked.memory >= m.refused_memory))
@@ -532,9 +544,6 @@
     return sum;
 }
 
-constexpr std::size_t kHomes = 2;  // a service has few containers at a placer; two homes outlive one's loss
-constexpr double kHomeCold = 0.5;  // others' containers of the service run at its home about as often as not
-
 // Departure (machines in use have a price): the sample is drawn from the fewest machines that hold the
 // present load with room to spare, the fullest first, so that the others run empty. All placers see the same
 // late view, so they agree.
@@ -568,46 +577,43 @@
     }
 }
 
-// Departure (cold starts): placers cannot tell each other where a service runs. So each ranks the machines
-// for it in the same mixed order, made from marks that mean nothing in themselves, and the first of that
-// order join the sample.
-std::uint64_t home_order(const Service& s, const Machine& m) {
-    std::uint64_t x = s.mark ^ (m.mark * 0x9e3779b97f4a7c15u);
-    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9u;
-    x = (x ^ (x >> 27)) * 0x94d049bb133111ebu;
-    return x ^ (x >> 31);
-}
+// The sample. Departure (cold starts): placers cannot tell each other where a service runs. So the chance
+// that draws a service's sample is made from its own mark, alike at every placer: points of a circle on which
+// each machine has a few. All draw the same machines in the same order, and where the earlier have room the
+// service gathers there. The machines known to hold it join.
+constexpr double kWarm[kSample] = {0.7, 0.5, 0.3, 0.2, 0.1, 0, 0, 0};  // chance that it runs there
+constexpr double kTogether = 5;  // containers of a service that stand together, so that one is likely known
+constexpr std::uint64_t kDraws = 8 * kSample;  // to find so many with room; past it the fleet is full
 
 Machine* Placer::pick(Nanos now, Container& c, bool under_bound) {
-    std::vector<Machine*> fit;
-    for (Machine* m : fleet_)
-        if ((m->working || !under_bound) && may_bind(now, c, *m) &&
-            (!young(now, *m) || young_bears(now, *m)) &&
-            std::find(c.turned_down.begin(), c.turned_down.end(), m) == c.turned_down.end() &&
-            has_room(now, c, *m))
-            fit.push_back(m);
-    const auto home =
-        std::stable_partition(fit.begin(), fit.end(), [&](Machine* m) { return warm(now, *m, c.service); });
-    std::sort(home, fit.end(), [&](const Machine* a, const Machine* b) {
-        return home_order(*c.service, *a) < home_order(*c.service, *b);
-    });
-    const std::size_t known = static_cast<std::size_t>(home - fit.begin()) + kHomes;
-    const std::size_t most = std::min(known + kSample, fit.size());
     Machine* best = nullptr;
     double best_sum = 0;
-    for (std::size_t i = 0; i < most; ++i) {
-        if (i >= known) std::swap(fit[i], fit[i + chance_() % (fit.size() - i)]);
-        Machine& m = *fit[i];
+    std::vector<Machine*> seen;
+    const auto consider = [&](Machine* m, double cold) {
+        if (std::find(seen.begin(), seen.end(), m) != seen.end()) return false;
+        seen.push_back(m);
+        if ((under_bound && !m->working) || !may_bind(now, c, *m) || !has_room(now, c, *m)) return false;
         double start = 0;
-        const double sum = slow_down(now, c, m, start);
-        if (under_bound && sum > kBound) continue;
-        if (i + kHomes >= known && i < known) start *= kHomeCold;
-        const double away = m.listed.zone != zone_ ? prices_.across_zones : 0;
-        if (!best || sum + start + away < best_sum) {
-            best = &m;
-            best_sum = sum + start + away;
+        double sum = slow_down(now, c, *m, start);
+        if (under_bound && sum > kBound) return true;
+        sum += start * cold + (m->listed.zone != zone_ ? prices_.across_zones : 0);
+        if (!best || sum < best_sum) {
+            best = m;
+            best_sum = sum;
         }
+        return true;
+    };
+    for (Machine* m : c.service->at)
+        if (warm(now, *m, c.service)) consider(m, 1);
+    const double unknown = std::pow(1 - 1.0 / cold_.placers, kTogether);  // one there, and none of them ours
+    std::size_t drawn = circle_.empty() ? kSample : 0;
+    for (std::uint64_t i = 0; i < kDraws && drawn < kSample && seen.size() < fleet_.size(); ++i) {
+        const auto at = std::lower_bound(circle_.begin(), circle_.end(), mixed(c.service->mark, i),
+                                         [](auto& point, std::uint64_t x) { return point.first < x; });
+        drawn += consider((at == circle_.end() ? circle_.front() : *at).second, 1 - kWarm[drawn] * unknown);
     }
+    if (!best && !under_bound)  // nothing in the sample: a wider look
+        for (Machine* m : fleet_) consider(m, 1);
     return best;
 }
 
@@ -616,48 +622,43 @@
 // that frees most is moved, if what is won, in seconds of service, is worth more than the stated price. Only
 // idempotent ones: a moved container has run. A placer acts with the chance of its part of the load, so about
 // one moves a second from each machine. Could waste starts where the trouble is about to end.
-constexpr Nanos kMoveEvery = kSecond;  // as notes come: see what one move did before the next
+constexpr Nanos kMoveEvery = kSecond;  // as notes come
 constexpr double kMoveFrom = 0.25;     // slow-down: served four fifths; less is within what a start costs
 constexpr double kMoveGain = 1.5;      // the gain is an estimate; it must be clear
 constexpr double kMoveBelow = 0.8;     // fuller than this, a move only carries the crowding elsewhere
 
-void Placer::relieve(Nanos now) {
-    if (fleet_fill_ > kMoveBelow) return;
-    for (Machine* m : fleet_) {
-        if (m->excess < kMoveFrom || now - m->excess_at > kMoveEvery || now - m->relieved_at < kMoveEvery)
-            continue;
-        m->relieved_at = now;
-        const double load = m->size->cores - m->listed.free_cores;
-        if (static_cast<double>(chance_() % 1000) * load > 1000 * m->own_cores) continue;
-        const double lost = 1 - 1 / (1 + m->excess);
-        Container* best = nullptr;
-        double best_gain = 0;
-        for (const auto& held : containers_) {
-            Container& c = *held;
-            if (c.out != m || !c.placed || c.settled || c.group->effect != Effect::idempotent) continue;
-            const double used = c.cores_used > 0 ? c.cores_used : c.asked.cores;
-            const double life = std::max(
-                1.0, c.service->mean_life_s > 0 ? c.service->mean_life_s / 2 : c.group->start_worth_s);
-            const double others = m->own_cores / std::max(0.01, c.asked.cores) - 1;
-            const double freed = std::min(lost, used / m->size->cores / std::max(0.05, c.group->fade));
-            const double gain = life * (lost + others * freed);
-            const double cost =
-                prices_.moves * (2 * life + c.group->start_worth_s) + std::max(c.service->median_cold, 1.0);
-            if (gain > kMoveGain * cost && gain > best_gain) {
-                best = &c;
-                best_gain = gain;
-            }
+void Placer::relieve(Nanos now, Machine& m) {
+    if (fleet_fill_ > kMoveBelow || m.excess < kMoveFrom || now - m.relieved_at < kMoveEvery) return;
+    m.relieved_at = now;
+    const double load = m.size->cores - m.listed.free_cores;
+    if (static_cast<double>(chance_() % 1000) * load > 1000 * m.own_cores) return;
+    const double lost = 1 - 1 / (1 + m.excess);
+    Container* best = nullptr;
+    double best_gain = 0;
+    for (Container* c : m.held) {
+        if (!c->placed || c->settled || c->group->effect != Effect::idempotent) continue;
+        const double used = c->cores_used > 0 ? c->cores_used : c->asked.cores;
+        const double life = c->service->mean_life_s > 0 ? std::max(1.0, c->service->mean_life_s / 2)
+                                                        : c->group->start_worth_s;
+        const double others = m.own_cores / std::max(0.01, c->asked.cores) - 1;
+        const double freed = std::min(lost, used / m.size->cores / std::max(0.05, c->group->fade));
+        const double gain = life * (lost + others * freed);
+        const double cost =
+            prices_.moves * (2 * life + c->group->start_worth_s) + std::max(c->service->median_cold, 1.0);
+        if (gain > kMoveGain * cost && gain > best_gain) {
+            best = c;
+            best_gain = gain;
         }
-        if (!best) continue;
-        Container twin = *best;  // would it find a clean machine?
-        twin.out = nullptr;
-        twin.launches = 0;
-        twin.until = now + kSecond;
-        twin.turned_down = {m};
-        if (!pick(now, twin, true)) continue;
-        best->settled = true;
-        port_.move(*best);
     }
+    if (!best) return;
+    Container twin = *best;  // would it find a clean machine?
+    twin.out = nullptr;
+    twin.launches = 0;
+    twin.until = now + kSecond;
+    twin.turned_down = {&m};
+    if (!pick(now, twin, true)) return;
+    best->settled = true;
+    port_.move(*best);
 }
 
 // Where reports come with probes only, the machine heard of longest ago is probed, so often that a probe's
@@ -713,7 +714,6 @@
         retry_list_ = 0;
         port_.follow_list();
     }
-    relieve(now);
     look(now);
     if (queue_.empty()) return;
     if (now >= next_working_) choose_working(now);
