Look before binding: probe a chosen machine not heard of within a second

Guards also against machines standing still, cut off, or dead before the list says so. Could delay starts where probes are slow.

--- a/drill/wire.cpp
+++ b/drill/wire.cpp
@@ -384,13 +384,12 @@
         const Params p(f.remainder());
         auto groups = read_groups(p);
         auto kinds = read_kinds(p);
-        Acceptance accepts{
-            p.positive("family_info.accepts_cores"),
-            p.positive("family_info.memory_multiple"),
-            p.nth("family_info.free_by", 0, "asked") == "used",
-            p.has("report.via") && p.text("report.via") == "on_probe" && p.truth("limits.probes"),
-            p.text("family_info.yes_at") == "running",
-            p.truth_or("family_info.pushes_out", false)};
+        Acceptance accepts{p.positive("family_info.accepts_cores"),
+                           p.positive("family_info.memory_multiple"),
+                           p.nth("family_info.free_by", 0, "asked") == "used",
+                           p.truth_or("limits.probes", false),
+                           p.text("family_info.yes_at") == "running",
+                           p.truth_or("family_info.pushes_out", false)};
         ColdTerms cold{p.positive("contract.cold_from"),        p.micros("contract.cold_us"),
                        p.positive("contract.fall_multiple"),    p.micros("contract.fall_us"),
                        p.real_or("family_info.young_limit", 0), static_cast<int>(p.positive("balancers")),
--- a/include/whinpost/placer.h
+++ b/include/whinpost/placer.h
@@ -47,9 +47,9 @@
 // What machines say yes to, and what the amounts they report as free are free of.
 struct Acceptance {
     double cores_multiple = 1, memory_multiple = 1;
-    bool reports_use = false;       // free means not in use; else not asked for
-    bool reports_on_probe = false;  // reports come with probes only
-    bool yes_on_running = false;    // else yes comes on acceptance
+    bool reports_use = false;  // free means not in use; else not asked for
+    bool can_probe = false;
+    bool yes_on_running = false;  // else yes comes on acceptance
     bool preempts = false;
 };
 
@@ -155,7 +155,7 @@
     Report report;
     Nanos reported_at = 0;
     bool working = true;
-    Nanos probed_at = 0;
+    Nanos probed_at = 0, heard_at = 0;
 };
 
 // Everything a placer does leaves through here.
@@ -202,6 +202,7 @@
     Machine* first_maybe = nullptr;  // where the first launch that may have run went
     Nanos first_maybe_at = 0;
     int rounds_without = 0;
+    std::size_t looks = 0;
     Nanos not_before = 0;
     double order = 0, cores_used = 0;
     std::vector<Machine*> turned_down;
@@ -247,15 +248,17 @@
     void started(Nanos now, Container&);
     void observe(Container&, double slow_down);
     void choose_working(Nanos now);
-    void relieve(Nanos now, Machine&);
-    void look(Nanos now);
+    void relieve(Nanos now, Container&);
+    bool look_first(Nanos now, Container&, Machine&);
     double slow_down(Nanos now, Container&, Machine&, double& start);
     double failing(Nanos now, Machine&, std::size_t group) const;
     bool young(Nanos now, const Machine&) const;
     bool young_bears(Nanos now, Machine&) const;
     bool has_room(Nanos now, const Container&, Machine&) const;
-    double cores_share(Nanos now, Machine&, double extra) const;
-    double memory_share(Nanos now, Machine&, double extra) const;
+    struct Load {
+        double asked_cores, asked_memory, used_cores, used_memory;
+    };
+    Load load(Nanos now, Machine&, const Asked& more) const;
     Machine* pick(Nanos now, Container&, bool under_bound);
     Nanos time_out(Nanos now, const Container&) const;
     void wake_by(Nanos now, Nanos at);
@@ -289,7 +292,6 @@
     Nanos short_until_ =
         0;  // until then the working set is one machine larger for each round that found none
     int widen_ = 0;
-    double probes_due_ = 0;
     double fleet_fill_ = 0;  // of what the serving machines may be filled to
 };
 
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -46,7 +46,6 @@
 
 }  // namespace
 
-constexpr double kProbesEach = 0.4;           // probes for each container taken
 constexpr Nanos kTally = 250 * kMillisecond;  // 16 buckets: four seconds of own changes and of launches' ends
 constexpr double kLine = 8;  // unanswered launches at one machine, at first: a short line, shared
 
@@ -136,7 +135,6 @@
     c.taken = now;
     c.until = now + asked.time_left;
     service.last_seen = now;
-    probes_due_ = std::min(probes_due_ + kProbesEach, 2.0);
     enqueue(c);
     return c;
 }
@@ -271,7 +269,7 @@
     out->excess = std::max(0.0, seen - p.predicted(*out, *service));
     out->excess_at = now;
     p.observe(*this, seen);
-    p.relieve(now, *out);
+    p.relieve(now, *this);
 }
 
 constexpr double kForget = 0.995;  // use over asks is that of the last few hundred notes
@@ -340,7 +338,10 @@
 }
 
 void Placer::heard(Nanos now, Machine& m, const Report& r) {
+    m.heard_at = now;
     if (!r.has_free_cores && !r.has_busy && !r.has_free_memory) return;
+    for (Container* c : queue_)
+        if (c->looks) c->not_before = 0;
     m.report = r;
     m.reported_at = now;
 }
@@ -447,6 +448,12 @@
 
 // ---------------------------------------------------------------- room
 
+constexpr Nanos kHeardOf = 1000 * kMillisecond;  // use changes over seconds
+constexpr Nanos kLookWait = 100 * kMillisecond;  // a few offers' time
+constexpr Nanos kSilentFor = 2 * kSecond;
+constexpr double kLookPrice = 0.02;  // of a container: what a look saves is some hundredths of its worth
+constexpr std::size_t kLooks = 3;    // probes for one container
+
 constexpr Nanos kReportHolds = 3 * kSecond;  // use changes over some seconds; older reports mislead
 constexpr int kViewLag = 6;  // tallies of own changes (1.5 s) that a late view is taken not to show yet
 constexpr double kMemoryFull = 0.88;  // from 92% a machine slows all it holds; leaves room for growth
@@ -454,43 +461,51 @@
 constexpr double kMemorySlope = 8;    // crowded memory slows by up to 70% within a tenth of its size
 constexpr double kUnknownUse = 0.7;   // use over asks before any note: between none and all of it
 
-double Placer::cores_share(Nanos now, Machine& m, double extra) const {
-    const double ratio = ask_cores_ > 0 ? use_cores_ / ask_cores_ : kUnknownUse;
-    const double recent = m.new_cores.sum(now, kViewLag);
-    double used = (m.size->cores - m.listed.free_cores + recent) * ratio;
-    if (m.reported_at && now - m.reported_at < kReportHolds) {
-        const double late = m.new_cores.sum(now, 3) * ratio;
-        if (m.report.has_busy) used = std::max(used, m.report.busy * m.size->cores + late);
-        else if (accepts_.reports_use && m.report.has_free_cores)
-            used = std::max(used, m.size->cores - m.report.free_cores + late);
+// What a machine is taken to hold: the view's asks and this placer's own changes that the view cannot show
+// yet, their use by the usual ratio, and where a report is fresher and says more, that.
+Placer::Load Placer::load(Nanos now, Machine& m, const Asked& more) const {
+    const double cores = ask_cores_ > 0 ? use_cores_ / ask_cores_ : kUnknownUse;
+    const double memory = ask_memory_ > 0 ? use_memory_ / ask_memory_ : kUnknownUse;
+    Load l{m.size->cores - m.listed.free_cores + m.new_cores.sum(now, kViewLag),
+           m.size->memory - m.listed.free_memory + m.new_memory.sum(now, kViewLag), 0, 0};
+    const Report& r = m.report;
+    const bool fresh = m.reported_at && now - m.reported_at < kReportHolds;
+    const double told_cores = m.size->cores - r.free_cores, told_memory = m.size->memory - r.free_memory;
+    const double late_cores = m.new_cores.sum(now, 3), late_memory = m.new_memory.sum(now, 3);
+    if (fresh && !accepts_.reports_use) {
+        if (r.has_free_cores) l.asked_cores = std::max(l.asked_cores, told_cores + late_cores);
+        if (r.has_free_memory) l.asked_memory = std::max(l.asked_memory, told_memory + late_memory);
+    }
+    l.asked_cores += more.cores;
+    l.asked_memory += more.memory;
+    l.used_cores = l.asked_cores * cores;
+    l.used_memory = l.asked_memory * memory;
+    if (fresh && r.has_busy)
+        l.used_cores = std::max(l.used_cores, r.busy * m.size->cores + (late_cores + more.cores) * cores);
+    if (fresh && accepts_.reports_use) {
+        if (r.has_free_cores && !r.has_busy)
+            l.used_cores = std::max(l.used_cores, told_cores + (late_cores + more.cores) * cores);
+        if (r.has_free_memory)
+            l.used_memory = std::max(l.used_memory, told_memory + (late_memory + more.memory) * memory);
     }
-    return (used + extra * ratio) / m.size->cores;
-}
-
-double Placer::memory_share(Nanos now, Machine& m, double extra) const {
-    const double ratio = ask_memory_ > 0 ? use_memory_ / ask_memory_ : kUnknownUse;
-    double used = (m.size->memory - m.listed.free_memory + m.new_memory.sum(now, kViewLag)) * ratio;
-    if (accepts_.reports_use && m.report.has_free_memory && m.reported_at &&
-        now - m.reported_at < kReportHolds)
-        used = std::max(used, m.size->memory - m.report.free_memory + m.new_memory.sum(now, 3) * ratio);
     if (m.memory_noted && now - m.memory_noted < 2 * kSecond)
-        used = std::max(used, m.memory_used * m.size->memory);
-    return (used + extra * ratio) / m.size->memory;
+        l.used_memory = std::max(l.used_memory, m.memory_used * m.size->memory + more.memory * memory);
+    return l;
 }
 
 bool Placer::has_room(Nanos now, const Container& c, Machine& m) const {
+    if (m.probed_at > m.heard_at && now - m.probed_at >= kLookWait && now - m.probed_at < kSilentFor)
+        return false;
     if (now < m.blocked_until || m.waiting >= m.line || (young(now, m) && !young_bears(now, m))) return false;
     if (std::find(c.turned_down.begin(), c.turned_down.end(), &m) != c.turned_down.end()) return false;
     if (m.waiting && now - m.waiting_since > std::max(kSilentAtLeast, nanos(kSilent * answer_s_)))
         return false;
     if (now < m.refused_until && (c.asked.cores >= m.refused_cores || c.asked.memory >= m.refused_memory))
         return false;
-    const double cores =
-        m.listed.free_cores + (accepts_.cores_multiple - 1) * m.size->cores - m.new_cores.sum(now, kViewLag);
-    const double memory = m.listed.free_memory + (accepts_.memory_multiple - 1) * m.size->memory -
-                          m.new_memory.sum(now, kViewLag);
-    return c.asked.cores <= cores && c.asked.memory <= memory &&
-           memory_share(now, m, c.asked.memory) <= kMemoryHard;
+    const Load l = load(now, m, c.asked);
+    return l.asked_cores <= accepts_.cores_multiple * m.size->cores &&
+           l.asked_memory <= accepts_.memory_multiple * m.size->memory &&
+           l.used_memory <= kMemoryHard * m.size->memory;
 }
 
 // ---------------------------------------------------------------- young machines
@@ -530,9 +545,10 @@
     double sum = predicted(m, *c.service);
     // Departure (crowding): where running containers suddenly use more, the weights lag; what the machine is
     // known to use then counts at once, by the queue group's own curve.
-    const double over = cores_share(now, m, c.asked.cores) - c.group->calm;
+    const Load l = load(now, m, c.asked);
+    const double over = l.used_cores / m.size->cores - c.group->calm;
     if (over > 0) sum += 1 / std::max(0.05, 1 - over / std::max(c.group->fade, 0.01)) - 1;
-    sum += kMemorySlope * std::max(0.0, memory_share(now, m, c.asked.memory) - kMemoryFull);
+    sum += kMemorySlope * std::max(0.0, l.used_memory / m.size->memory - kMemoryFull);
     sum += excess(now, m) + 1 / (1 - failing(now, m, static_cast<std::size_t>(c.asked.group))) - 1;
     // Departure (cold starts): a start without the program is slow, which costs the worth of a start in time.
     const double life = c.asked.life_left > 0        ? seconds(c.asked.life_left)
@@ -553,24 +569,24 @@
 void Placer::choose_working(Nanos now) {
     next_working_ = now + kWorkingEvery;
     std::vector<std::pair<double, Machine*>> ranked;  // by how full
-    double load = 0, all = 0, held = 0;
-    const auto asked = [](double size, double free, double times) { return (size - free) / (times * size); };
+    double total = 0, all = 0, held = 0;
     for (Machine* m : fleet_) {
         if (m->listed.stage != Stage::serving) continue;
+        const Load l = load(now, *m, {});
         const double fill =
-            std::max({asked(m->size->cores, m->listed.free_cores, accepts_.cores_multiple),
-                      asked(m->size->memory, m->listed.free_memory, accepts_.memory_multiple),
-                      cores_share(now, *m, 0) / calm_, memory_share(now, *m, 0) / kMemoryFull});
+            std::max({l.asked_cores / accepts_.cores_multiple / m->size->cores,
+                      l.asked_memory / accepts_.memory_multiple / m->size->memory,
+                      l.used_cores / calm_ / m->size->cores, l.used_memory / kMemoryFull / m->size->memory});
         ranked.emplace_back(fill, m);
-        load += fill * m->size->cores;
+        total += fill * m->size->cores;
         all += m->size->cores;
     }
     std::stable_sort(ranked.begin(), ranked.end(), [](auto& a, auto& b) { return a.first > b.first; });
-    fleet_fill_ = load / std::max(all, 1e-9);
+    fleet_fill_ = total / std::max(all, 1e-9);
     if (now >= short_until_) widen_ = 0;
     int extra = widen_;
     for (auto& [fill, m] : ranked) {
-        m->working = prices_.machines_in_use <= 0 || held < load || extra-- > 0;
+        m->working = prices_.machines_in_use <= 0 || held < total || extra-- > 0;
         bool well = excess(now, *m) < kBound;
         for (std::size_t g = 0; g < groups_.size(); ++g) well = well && failing(now, *m, g) < 0.2;
         if (well) held += m->size->cores * kTargetFill;
@@ -618,66 +634,44 @@
 }
 
 // Departure (moves): a bind is for life, but the machine may turn bad after it: its containers use more,
-// another program shares it, it slows. Where quality notes say so and a clean machine has room, the container
-// that frees most is moved, if what is won, in seconds of service, is worth more than the stated price. Only
-// idempotent ones: a moved container has run. A placer acts with the chance of its part of the load, so about
-// one moves a second from each machine. Could waste starts where the trouble is about to end.
-constexpr Nanos kMoveEvery = kSecond;  // as notes come
-constexpr double kMoveFrom = 0.25;     // slow-down: served four fifths; less is within what a start costs
-constexpr double kMoveGain = 1.5;      // the gain is an estimate; it must be clear
-constexpr double kMoveBelow = 0.8;     // fuller than this, a move only carries the crowding elsewhere
-
-void Placer::relieve(Nanos now, Machine& m) {
-    if (fleet_fill_ > kMoveBelow || m.excess < kMoveFrom || now - m.relieved_at < kMoveEvery) return;
+// another program shares it, it slows. Where a quality note says so, the container is moved if what is won,
+// in seconds of service, is worth more than the stated price; about one a second from each machine: a placer
+// acts with the chance of its part of the load. Only idempotent ones: a moved container has run. Could waste
+// starts where the trouble is about to end.
+constexpr double kMoveFrom = 0.25;  // slow-down: served four fifths; less is within what a start costs
+constexpr double kMoveGain = 1.5;   // the gain is an estimate; it must be clear
+constexpr double kMoveBelow = 0.8;  // fuller than this, a move only carries the crowding elsewhere
+
+void Placer::relieve(Nanos now, Container& c) {
+    Machine& m = *c.out;
+    if (fleet_fill_ > kMoveBelow || m.excess < kMoveFrom || now - m.relieved_at < kSecond) return;
     m.relieved_at = now;
-    const double load = m.size->cores - m.listed.free_cores;
-    if (static_cast<double>(chance_() % 1000) * load > 1000 * m.own_cores) return;
-    const double lost = 1 - 1 / (1 + m.excess);
-    Container* best = nullptr;
-    double best_gain = 0;
-    for (Container* c : m.held) {
-        if (!c->placed || c->settled || c->group->effect != Effect::idempotent) continue;
-        const double used = c->cores_used > 0 ? c->cores_used : c->asked.cores;
-        const double life = c->service->mean_life_s > 0 ? std::max(1.0, c->service->mean_life_s / 2)
-                                                        : c->group->start_worth_s;
-        const double others = m.own_cores / std::max(0.01, c->asked.cores) - 1;
-        const double freed = std::min(lost, used / m.size->cores / std::max(0.05, c->group->fade));
-        const double gain = life * (lost + others * freed);
-        const double cost =
-            prices_.moves * (2 * life + c->group->start_worth_s) + std::max(c->service->median_cold, 1.0);
-        if (gain > kMoveGain * cost && gain > best_gain) {
-            best = c;
-            best_gain = gain;
-        }
+    if (c.settled || c.group->effect != Effect::idempotent) return;
+    if (static_cast<double>(chance_() % 1000) * (m.size->cores - m.listed.free_cores) > 1000 * m.own_cores)
+        return;
+    const double life = c.service->mean_life_s > 0 ? c.service->mean_life_s / 2 : c.group->start_worth_s;
+    const double gain = life * (1 - 1 / (1 + m.excess));
+    const double cost =
+        prices_.moves * (2 * life + c.group->start_worth_s) + std::max(c.service->median_cold, 1.0);
+    if (gain < kMoveGain * cost) return;
+    c.settled = true;
+    port_.move(c);
+}
+
+// Departure (look before binding): among many placers a machine's state is seldom known when it is chosen. So
+// a machine not heard of lately is probed first, and the container waits that long; the choice is then made
+// anew by what it says. One that does not answer is left alone for a while. Guards against machines that are
+// slow, shared, crowded, standing still, cut off or dead before the list says so.
+bool Placer::look_first(Nanos now, Container& c, Machine& m) {
+    if (!accepts_.can_probe || prices_.probes > kLookPrice) return false;
+    if (now - m.heard_at < kHeardOf || c.looks >= kLooks) return false;
+    if (now - m.probed_at >= kLookWait) {
+        m.probed_at = now;
+        port_.probe(m);
     }
-    if (!best) return;
-    Container twin = *best;  // would it find a clean machine?
-    twin.out = nullptr;
-    twin.launches = 0;
-    twin.until = now + kSecond;
-    twin.turned_down = {&m};
-    if (!pick(now, twin, true)) return;
-    best->settled = true;
-    port_.move(*best);
-}
-
-// Where reports come with probes only, the machine heard of longest ago is probed, so often that a probe's
-// price stays a small part of what a container is worth. Guards against use that the view, which shows only
-// asks, cannot show.
-constexpr Nanos kHeardOf = 400 * kMillisecond;  // reports are refreshed about so often
-
-void Placer::look(Nanos now) {
-    if (!accepts_.reports_on_probe || probes_due_ < 1) return;
-    Machine* oldest = nullptr;
-    for (Machine* m : fleet_)
-        if (m->listed.stage == Stage::serving &&
-            (!oldest ||
-             std::max(m->probed_at, m->reported_at) < std::max(oldest->probed_at, oldest->reported_at)))
-            oldest = m;
-    if (!oldest || now - std::max(oldest->probed_at, oldest->reported_at) < kHeardOf) return;
-    oldest->probed_at = now;
-    probes_due_ -= 1;
-    port_.probe(*oldest);
+    ++c.looks;
+    c.not_before = now + kLookWait;
+    return true;
 }
 
 // ---------------------------------------------------------------- rounds
@@ -714,7 +708,6 @@
         retry_list_ = 0;
         port_.follow_list();
     }
-    look(now);
     if (queue_.empty()) return;
     if (now >= next_working_) choose_working(now);
     std::vector<Container*> due;
@@ -730,6 +723,7 @@
         if (now >= c->not_before) {
             Machine* m = pick(now, *c, true);
             if (!m && c->rounds_without > 0) m = pick(now, *c, false);
+            if (m && look_first(now, *c, *m)) continue;
             if (m) {
                 launch(now, *c, *m);
                 continue;
--- a/tests/placer_test.cpp
+++ b/tests/placer_test.cpp
@@ -243,3 +243,39 @@
     held[0]->served_share(t.now, 0, 0.3);
     CHECK(t.count('m') == (yes ? 1 : 0));
 }
+
+TEST_CASE("a machine not heard of lately is looked at before a bind, and the choice made anew") {
+    Acceptance a{2.5, 1.5, false, true, false, false};
+    Stand t({QueueGroup{}}, Stand::usual_cold(), {}, 4, a);
+    Machine &one = t.machine(), &two = t.machine();
+    Container& c = t.bound(t.placer.meet_service(1));
+    REQUIRE(t.count('b') == 0);
+    REQUIRE(t.count('p') == 1);
+    Machine &looked = *t.seen.back().machine, &other = &looked == &one ? two : one;
+    t.now += 20 * kMillisecond;
+    Report busy;
+    busy.busy = 1.2;
+    busy.has_busy = true;
+    t.placer.heard(t.now, looked, busy);
+    t.placer.round(t.now);
+    CHECK(t.seen.back().machine == &other);
+    t.pass(kSecond);  // it never answers
+    CHECK(c.out == &looked);
+    CHECK(t.count('p') == 2);
+}
+
+TEST_CASE("a machine heard of just now is bound to at once, and the number of looks is bounded") {
+    QueueGroup g;
+    g.start_worth_s = 10;
+    Stand t({g}, Stand::usual_cold(), {}, 4, {2.5, 1.5, false, true, false, false});
+    for (int i = 0; i < 20; ++i) t.machine();
+    Container& c = t.take(t.placer.meet_service(1));
+    t.pass(2 * kSecond);
+    REQUIRE(c.out);
+    CHECK(t.count('p') == 3);
+    c.accepted(t.now, 0);
+    t.placer.heard(t.now, *c.out, {});
+    Container& next = t.bound(*c.service);
+    CHECK(next.out == c.out);
+    CHECK(t.count('p') == 3);
+}
--- a/tests/stand.h
+++ b/tests/stand.h
@@ -16,9 +16,9 @@
 
 struct Stand : Port {
     explicit Stand(std::vector<QueueGroup> groups = {QueueGroup{}}, ColdTerms cold = usual_cold(),
-                   ListTerms list = {}, int launches = 4)
-        : placer(*this, 7, 0, std::move(groups), {{16, 32}, {48, 96}}, {2.5, 1.5, false, false, false, false},
-                 cold, list, {launches, true}, {}) {}
+                   ListTerms list = {}, int launches = 4, Acceptance accepts = {2.5, 1.5})
+        : placer(*this, 7, 0, std::move(groups), {{16, 32}, {48, 96}}, accepts, cold, list, {launches, true},
+                 {}) {}
     static ColdTerms usual_cold() { return {0.25, 10 * kSecond, 3, 2 * kSecond, 40, 4}; }
 
     void bind(Container& c, Machine& m, Nanos t) override { seen.push_back({'b', &c, &m, t}); }
