--- /dev/null
+++ b/apps/whinpost_main.cpp
@@ -0,0 +1,72 @@
+// The operators' command.
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <iostream>
+#include <random>
+
+#include "embedded.h"
+#include "net/event_loop.h"
+
+namespace {
+
+using namespace whinpost;
+
+int check(const std::string& path) {
+    net::EventLoop loop;
+    config::Document file = config::Document::read(path);
+    std::vector<std::string> problems;
+    if (apps::Embedded::make(loop, file, 1, 1, problems)) {
+        std::cout << path << ": ok\n";
+        return 0;
+    }
+    for (const std::string& p : problems) std::cerr << p << '\n';
+    return 1;
+}
+
+int run(const std::string& path) {
+    net::EventLoop loop;
+    config::Document file = config::Document::read(path);
+    std::vector<std::string> problems;
+    std::random_device chance;
+    const auto draw = [&chance] { return (static_cast<std::uint64_t>(chance()) << 32 | chance()) | 1; };
+    const auto placer = apps::Embedded::make(loop, file, draw(), draw(), problems);
+    for (const std::string& p : problems) std::cerr << p << '\n';
+    if (!placer) return 1;
+    const std::string wrong = placer->start();
+    if (!wrong.empty()) {
+        std::cerr << path << ": placer.listen: " << wrong << '\n';
+        return 1;
+    }
+    bool asked = false;
+    const auto stop = [&] {
+        if (std::exchange(asked, true)) return loop.stop();  // the second one: at once
+        placer->edge.close([&loop] { loop.stop(); });
+    };
+    loop.on_signal(SIGTERM, stop);
+    loop.on_signal(SIGINT, stop);
+    loop.run();
+    return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    CLI::App app{"whinpost: places long-running containers on the machines of a cluster"};
+    app.require_subcommand(1);
+    std::string path;
+    CLI::App* run_command = app.add_subcommand("run", "Run one placer: edge and planner in this process");
+    run_command->add_option("file", path, "The placer's configuration (TOML)")->required();
+    run_command->footer(
+        "SIGTERM or SIGINT: takes no new containers, gives every answer that is owed, ends. A second: at "
+        "once.");
+    CLI::App* check_command =
+        app.add_subcommand("check", "Check a configuration, and say all that is wrong with it");
+    check_command->add_option("file", path, "The placer's configuration (TOML)")->required();
+    CLI11_PARSE(app, argc, argv);
+    try {
+        return check_command->parsed() ? check(path) : run(path);
+    } catch (const std::exception& e) {
+        std::cerr << "whinpost: " << e.what() << '\n';
+        return 1;
+    }
+}
--- /dev/null
+++ b/lab/sim.cpp
@@ -0,0 +1,406 @@
+#include "lab/sim.h"
+
+#include <algorithm>
+#include <deque>
+#include <optional>
+#include <tuple>
+
+namespace whinpost::lab {
+
+namespace {
+// What one direction of a connection holds in the kernels' buffers, about a socket's usual send and receive
+// buffers.
+constexpr std::size_t kWindow = 256 << 10;
+
+std::string host_of(const std::string& address) { return address.substr(0, address.rfind(':')); }
+}  // namespace
+
+// One end of a connection. `link_` is shared by both; it outlives either.
+class SimStream final : public net::Stream {
+public:
+    SimStream(Process& p, std::string peer) : process_(p), peer_(std::move(peer)) {
+        --process_.files_;
+        process_.streams_.push_back(this);
+        self_ = std::make_shared<SimStream*>(this);
+    }
+    ~SimStream() override {
+        *self_ = nullptr;
+        std::erase(process_.streams_, this);
+        ++process_.files_;
+        if (other_ && *other_ && process_.alive_) finish(net::Closed::by_peer);
+    }
+    SimStream(const SimStream&) = delete;
+    SimStream& operator=(const SimStream&) = delete;
+
+    void write(std::string_view bytes) override {
+        if (broken_) return;
+        out_ += bytes;
+        written_ += bytes.size();
+        hand_over();
+    }
+    std::size_t unsent() const override { return out_.size(); }
+    std::uint64_t handed() const override { return written_ - out_.size(); }
+    void read(bool on) override {
+        reading_ = on;
+        if (on) wake();
+    }
+    void abort() override {
+        if (other_ && *other_) finish(net::Closed::reset);
+        broken_ = true;
+        other_.reset();
+    }
+    std::string peer() const override { return peer_; }
+
+private:
+    friend class Process;
+    friend class World;
+    friend class SimListener;
+    using Self = std::shared_ptr<SimStream*>;
+
+    SimStream* peer_end() const { return other_ ? *other_ : nullptr; }
+
+    // Tells the other end that this one is closed, after all that was handed over has arrived.
+    void finish(net::Closed how) {
+        World& w = process_.world_;
+        SimStream* o = *other_;
+        o->ending_ = how;
+        if (how == net::Closed::reset) o->incoming_.clear();
+        const Self to = other_;
+        w.post(std::max(w.now() + w.delay(process_, o->process_), o->arrives_), &o->process_, [to] {
+            if (*to) (*to)->come_to_end();
+        });
+    }
+    void come_to_end() {
+        if (!ending_) return;
+        if (*ending_ == net::Closed::by_peer && (!reading_ || !incoming_.empty()))
+            return;                                     // met once all is read
+        if (process_.world_.blocked_in(*this)) return;  // comes when the cut has healed
+        const net::Closed how = *ending_;
+        ending_.reset();
+        broken_ = true;
+        other_.reset();
+        if (user_) user_->closed(how);
+    }
+
+    void hand_over() {
+        SimStream* o = peer_end();
+        World& w = process_.world_;
+        if (!o || dialling_ || broken_) return;
+        const std::size_t room = kWindow - std::min(kWindow, o->incoming_bytes_);
+        const std::size_t n = std::min(room, out_.size());
+        if (n) {
+            std::string lot = out_.substr(0, n);
+            out_.erase(0, n);
+            o->incoming_bytes_ += n;
+            o->incoming_.push_back(std::move(lot));
+            if (!w.blocked(process_, o->process_)) {
+                o->arrives_ = std::max(o->arrives_, w.now() + w.delay(process_, o->process_));
+                const Self to = other_;
+                w.post(o->arrives_, &o->process_, [to] {
+                    if (*to) (*to)->arrive();
+                });
+            }
+        }
+        if (out_.empty() && written_ && !telling_) {
+            telling_ = true;
+            const Self me = self_;
+            w.post(w.now(), &process_, [me] {
+                if (!*me) return;
+                (*me)->telling_ = false;
+                if ((*me)->out_.empty() && (*me)->user_ && !(*me)->broken_) (*me)->user_->drained();
+            });
+        }
+    }
+
+    void wake() {
+        const Self me = self_;
+        process_.world_.post(process_.now(), &process_, [me] {
+            if (*me) (*me)->arrive();
+        });
+    }
+
+    void arrive() {
+        SimStream* o = peer_end();
+        World& w = process_.world_;
+        if (!user_ || !reading_ || broken_) return;
+        if (w.blocked_in(*this)) return;
+        const Self me = self_;
+        while (!incoming_.empty()) {
+            const std::string lot = std::move(incoming_.front());
+            incoming_.pop_front();
+            incoming_bytes_ -= lot.size();
+            for (const char c : lot) w.digest_ = (w.digest_ ^ static_cast<unsigned char>(c)) * 1099511628211u;
+            in_ += lot;
+            const std::size_t done = user_->received(in_);
+            if (!*me) return;
+            in_.erase(0, done);
+            if (!reading_ || broken_) break;
+        }
+        if (o && other_ && *other_) {
+            const Self from = other_;
+            w.post(w.now() + w.delay(process_, o->process_), &o->process_, [from] {
+                if (*from) (*from)->hand_over();
+            });
+        }
+        if (ending_ && incoming_.empty()) come_to_end();
+    }
+
+    Process& process_;
+    std::string peer_;
+    Self self_, other_;
+    net::StreamUser* user_ = nullptr;
+    std::string out_, in_;
+    std::deque<std::string> incoming_;
+    std::size_t incoming_bytes_ = 0;
+    std::uint64_t written_ = 0;
+    Nanos arrives_ = 0;
+    std::optional<net::Closed> ending_;
+    bool reading_ = true, dialling_ = false, broken_ = false, telling_ = false;
+};
+
+class SimListener final : public net::Listener {
+public:
+    SimListener(Process& p, std::string address, std::function<void(std::unique_ptr<net::Stream>)> then)
+        : process_(p), address_(std::move(address)), then_(std::move(then)) {
+        process_.world_.listeners_[address_] = this;
+    }
+    ~SimListener() override {
+        auto& all = process_.world_.listeners_;
+        if (const auto it = all.find(address_); it != all.end() && it->second == this) all.erase(it);
+    }
+    std::string address() const override { return address_; }
+
+private:
+    friend class Process;
+    friend class World;
+    Process& process_;
+    std::string address_;
+    std::function<void(std::unique_ptr<net::Stream>)> then_;
+};
+
+class SimTimer final : public net::Timer {
+public:
+    SimTimer(Process& p, std::function<void()> then) : process_(p), state_(std::make_shared<State>()) {
+        state_->then = std::move(then);
+    }
+    ~SimTimer() override { state_->then = nullptr; }
+    void arm(Nanos at) override {
+        const std::uint64_t turn = ++state_->turn;
+        process_.world_.post(std::max(at, process_.now()), &process_, [s = state_, turn] {
+            if (s->turn == turn && s->then) s->then();
+        });
+    }
+    void disarm() override { ++state_->turn; }
+
+private:
+    struct State {
+        std::function<void()> then;
+        std::uint64_t turn = 0;
+    };
+    Process& process_;
+    std::shared_ptr<State> state_;
+};
+
+// ---------------------------------------------------------------- processes
+
+Process::Process(World& w, std::string host, int zone, int number)
+    : world_(w), host_(std::move(host)), zone_(zone), number_(number) {}
+
+Nanos Process::now() const { return world_.now_; }
+
+std::unique_ptr<net::Listener> Process::listen(const std::string& address,
+                                               std::function<void(std::unique_ptr<net::Stream>)> then,
+                                               std::string& error) {
+    std::string at = address;
+    if (at.ends_with(":0")) at = host_of(at) + ":" + std::to_string(world_.next_port_++);
+    if (world_.listeners_.contains(at)) {
+        error = "Address already in use";
+        return nullptr;
+    }
+    return std::make_unique<SimListener>(*this, at, std::move(then));
+}
+
+std::unique_ptr<net::Stream> Process::dial(const std::string& address, net::StreamUser& user) {
+    auto s = std::make_unique<SimStream>(*this, address);
+    s->user_ = &user;
+    s->dialling_ = true;
+    const SimStream::Self me = s->self_;
+    const auto fail = [this, me](Nanos when, net::Closed why) {
+        world_.post(when, this, [me, why] {
+            if (*me && (*me)->user_) (*me)->user_->closed(why);
+        });
+    };
+    if (files_ < 0) {
+        fail(world_.now_, net::Closed::out_of_files);
+        return s;
+    }
+    const auto there = world_.listeners_.find(address);
+    const Nanos there_and_back = world_.delays_.least * 2;
+    if (there == world_.listeners_.end() || !there->second->process_.alive_) {
+        // Nothing listens: refused at once, unless no word comes through at all.
+        if (!world_.cuts_.contains({host_, host_of(address)}))
+            fail(world_.now_ + there_and_back, net::Closed::refused);
+        return s;
+    }
+    Process& p = there->second->process_;
+    if (world_.blocked(*this, p) || world_.blocked(p, *this))
+        return s;  // hangs: the user's own time-out ends it
+    const Nanos arrives = world_.now_ + world_.delay(*this, p);
+    // The kernel answers for the listener: a process that stands still has its connections made all the same.
+    world_.post(arrives, nullptr, [this, me, address, arrives] {
+        const auto it = world_.listeners_.find(address);
+        if (!*me) return;
+        if (it == world_.listeners_.end() || !it->second->process_.alive_) {
+            world_.post(arrives + world_.delays_.least, this, [me] {
+                if (*me && (*me)->user_) (*me)->user_->closed(net::Closed::refused);
+            });
+            return;
+        }
+        SimListener& l = *it->second;
+        auto far = std::make_unique<SimStream>(l.process_, host_ + ":" + std::to_string(world_.next_port_++));
+        SimStream* end = far.get();
+        end->other_ = me;
+        (*me)->other_ = end->self_;
+        world_.post(arrives + world_.delay(l.process_, *this), this, [me] {
+            if (!*me || !(*me)->user_ || !(*me)->dialling_) return;
+            (*me)->dialling_ = false;
+            (*me)->user_->connected();
+            if (*me) (*me)->hand_over();
+        });
+        auto holder = std::make_shared<std::unique_ptr<SimStream>>(std::move(far));
+        world_.post(arrives, &l.process_, [this, holder, address] {
+            const auto at = world_.listeners_.find(address);
+            if (at == world_.listeners_.end()) return;
+            if (at->second->process_.files_ < 0)
+                return;  // no descriptor: it is dropped, the peer sees it closed
+            at->second->then_(std::move(*holder));
+        });
+    });
+    return s;
+}
+
+void Process::use(net::Stream& stream, net::StreamUser& user) {
+    auto& s = static_cast<SimStream&>(stream);
+    s.user_ = &user;
+    s.wake();
+}
+
+std::unique_ptr<net::Timer> Process::timer(std::function<void()> then) {
+    return std::make_unique<SimTimer>(*this, std::move(then));
+}
+
+// ---------------------------------------------------------------- the world
+
+World::World(std::uint64_t seed, Delays delays)
+    : chance_(static_cast<std::ranlux24_base::result_type>(seed ^ (seed >> 24) ^ (seed >> 48))),
+      delays_(delays) {}
+
+World::~World() {
+    // What the queue still holds refers to processes.
+    while (!queue_.empty()) queue_.pop();
+}
+
+Process& World::process(std::string host, int zone) {
+    processes_.push_back(
+        std::make_unique<Process>(*this, std::move(host), zone, static_cast<int>(processes_.size())));
+    return *processes_.back();
+}
+
+void World::post(Nanos when, Process* p, std::function<void()> then) {
+    queue_.push({std::max(when, now_), events_++, p, std::move(then)});
+}
+
+void World::at(Nanos when, std::function<void()> then) { post(when, nullptr, std::move(then)); }
+
+bool World::blocked(const Process& from, const Process& to) const {
+    if (&from == &to) return false;
+    if (cuts_.contains({from.host_, to.host_})) return true;
+    return from.zone_ != to.zone_ && (zone_cuts_.contains(from.zone_) || zone_cuts_.contains(to.zone_));
+}
+
+bool World::blocked_in(const SimStream& s) const {
+    const SimStream* o = s.peer_end();
+    return o && blocked(o->process_, s.process_);
+}
+
+Nanos World::delay(const Process& from, const Process& to) {
+    Nanos d = delays_.least;
+    if (delays_.spread > 0)
+        d += static_cast<Nanos>(static_cast<double>(chance_() % 4096) / 4096 *
+                                static_cast<double>(delays_.spread));
+    for (const std::string* host : {&from.host_, &to.host_})
+        if (const auto it = slow_.find(*host); it != slow_.end()) d += it->second;
+    return d;
+}
+
+// What waited on a cut goes on.
+void World::heal() {
+    for (const auto& p : processes_)
+        for (SimStream* s : p->streams_) {
+            const SimStream::Self me = s->self_;
+            post(now_ + delays_.least, p.get(), [me] {
+                if (!*me) return;
+                (*me)->arrive();
+                if (*me) (*me)->come_to_end();
+                if (*me) (*me)->hand_over();
+            });
+        }
+}
+
+void World::cut(const std::string& from, const std::string& to, bool on) {
+    if (on) cuts_.insert({from, to});
+    else if (cuts_.erase({from, to})) heal();
+}
+
+void World::cut_zone(int zone, bool on) {
+    if (on) zone_cuts_.insert(zone);
+    else if (zone_cuts_.erase(zone)) heal();
+}
+
+void World::slow(const std::string& host, Nanos more) { slow_[host] = more; }
+
+void World::stall(Process& p) { p.stalled_ = true; }
+
+void World::resume(Process& p) {
+    p.stalled_ = false;
+    std::vector<std::function<void()>> parked;
+    parked.swap(p.parked_);
+    for (auto& then : parked) post(now_, &p, std::move(then));
+}
+
+void World::kill(Process& p) {
+    for (SimStream* s : p.streams_) {
+        s->user_ = nullptr;
+        if (s->peer_end()) s->finish(net::Closed::reset);
+        s->other_.reset();
+        s->broken_ = true;
+    }
+    p.alive_ = false;
+}
+
+void World::vanish(Process& p) {
+    for (SimStream* s : p.streams_) {
+        s->user_ = nullptr;
+        s->broken_ = true;
+        s->other_.reset();
+    }
+    p.alive_ = false;
+}
+
+void World::run_until(Nanos until) {
+    while (!queue_.empty() && queue_.top().at <= until) {
+        Event e = std::move(const_cast<Event&>(queue_.top()));
+        queue_.pop();
+        now_ = std::max(now_, e.at);
+        if (e.process && !e.process->alive_) continue;
+        if (e.process && e.process->stalled_) {
+            e.process->parked_.push_back(std::move(e.then));
+            continue;
+        }
+        ++steps_;
+        e.then();
+    }
+    now_ = std::max(now_, until);
+}
+
+}  // namespace whinpost::lab
--- /dev/null
+++ b/lab/sim.h
@@ -0,0 +1,116 @@
+// A network, clocks and processes in virtual time: the same edge, planner, ledger and stand-ins as on real
+// sockets, run many times faster than real time and the same way each time from one seed. What is met here:
+// delay, cuts in one direction or both, half-open connections, peers that do not read, processes that stand
+// still, kills at any step.
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "net/net.h"
+
+namespace whinpost::lab {
+
+class World;
+class SimStream;
+class SimListener;
+
+struct Delays {
+    Nanos least = 200 * kMicrosecond;   // one way
+    Nanos spread = 300 * kMicrosecond;  // more than that, drawn for each lot of bytes
+};
+
+// One process on one host, with a loop of its own.
+class Process final : public net::Loop {
+public:
+    Process(World&, std::string host, int zone, int number);
+    Nanos now() const override;
+    std::unique_ptr<net::Listener> listen(const std::string& address,
+                                          std::function<void(std::unique_ptr<net::Stream>)>,
+                                          std::string& error) override;
+    std::unique_ptr<net::Stream> dial(const std::string& address, net::StreamUser&) override;
+    void use(net::Stream&, net::StreamUser&) override;
+    std::unique_ptr<net::Timer> timer(std::function<void()>) override;
+    void stop() override { stopped_ = true; }
+
+    bool stopped() const { return stopped_; }
+    bool alive() const { return alive_; }
+    const std::string& host() const { return host_; }
+    void files(int left) { files_ = left; }  // descriptors that it may still open
+
+private:
+    friend class World;
+    friend class SimStream;
+    friend class SimListener;
+    friend class SimTimer;
+    World& world_;
+    std::string host_;
+    int zone_, number_;
+    bool stalled_ = false;
+    std::vector<std::function<void()>> parked_;  // while it stands still
+    bool stopped_ = false, alive_ = true;
+    int files_ = 1 << 20;
+    std::vector<SimStream*> streams_;
+};
+
+class World {
+public:
+    explicit World(std::uint64_t seed, Delays = {});
+    ~World();
+
+    // A host is the part of an address before the colon. Several processes may stand on one host.
+    Process& process(std::string host, int zone = 0);
+    void kill(Process&);    // as by SIGKILL: its peers hear it; what used it is to be destroyed after
+    void vanish(Process&);  // as by a pulled plug: its peers keep half-open connections
+    void stall(Process&);   // nothing of it runs; its kernel still takes bytes
+    void resume(Process&);  // all that came meanwhile happens now, in its order
+    void cut(const std::string& from, const std::string& to, bool on);  // one way, silent: bytes wait
+    void cut_zone(int zone, bool on);                                   // from all others, both ways
+    void slow(const std::string& host, Nanos more);                     // delay, each way
+
+    Nanos now() const { return now_; }
+    void at(Nanos when, std::function<void()>);  // of the world: no stall holds it up
+    void run_until(Nanos);
+    std::uint64_t steps() const { return steps_; }
+    // Of all bytes that were received, in their order: alike for runs that are alike.
+    std::uint64_t digest() const { return digest_; }
+
+private:
+    friend class Process;
+    friend class SimStream;
+    friend class SimListener;
+    friend class SimTimer;
+    struct Event {
+        Nanos at;
+        std::uint64_t number;
+        Process* process;  // null: the world's own
+        std::function<void()> then;
+        bool operator>(const Event& o) const { return std::tie(at, number) > std::tie(o.at, o.number); }
+    };
+    void post(Nanos when, Process*, std::function<void()>);
+    bool blocked(const Process& from, const Process& to) const;
+    bool blocked_in(const SimStream&) const;
+    Nanos delay(const Process& from, const Process& to);
+    void heal();
+
+    std::ranlux24_base chance_;
+    Delays delays_;
+    Nanos now_ = 1'000'000 * kSecond;
+    std::uint64_t events_ = 0, steps_ = 0, digest_ = 14695981039346656037u;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> queue_;
+    std::vector<std::unique_ptr<Process>> processes_;
+    std::map<std::string, SimListener*> listeners_;
+    std::set<std::pair<std::string, std::string>> cuts_;
+    std::set<int> zone_cuts_;
+    std::map<std::string, Nanos> slow_;
+    int next_port_ = 40'000;
+};
+
+}  // namespace whinpost::lab
--- /dev/null
+++ b/lab/sim_ground.cpp
@@ -0,0 +1,72 @@
+#include "lab/sim_ground.h"
+
+#include <stdexcept>
+
+namespace whinpost::lab {
+
+SimGround::SimGround(World& w, std::size_t placers, std::vector<std::string> zones)
+    : world_(w), script_(&w.process("script")), zones_(std::move(zones)), processes_(placers),
+      placers_(placers) {}
+
+SimGround::~SimGround() = default;
+
+net::Loop& SimGround::node_loop(const std::string& node, int zone) {
+    Process*& p = nodes_[node];
+    if (!p || !p->alive()) p = &world_.process(node, zone);
+    return *p;
+}
+
+// The simulated network knows no addresses but a placer's file does: these are read as IP addresses and stand
+// for hosts.
+std::string SimGround::placer_address(std::size_t i) {
+    return "10.0." + std::to_string(i / 250) + "." + std::to_string(i % 250 + 1) + ":7400";
+}
+
+void SimGround::start_placer(std::size_t i, const std::string& file) {
+    const std::string at = placer_address(i);
+    processes_[i] = &world_.process(at.substr(0, at.find(':')), static_cast<int>(i % zones_.size()));
+    // The list's address is a host's name here.
+    std::string text = file;
+    const std::string list = "address = \"" + list_address() + "\"";
+    text.replace(text.find(list), list.size(), "address = \"10.255.0.1:1\"");
+    if (text.find("[log]") == std::string::npos) text += "\n[log]\nlevel = \"off\"\n";
+    config::Document document = config::Document::parse(text, "placer-" + std::to_string(i));
+    std::vector<std::string> problems;
+    ++incarnations_;
+    placers_[i] =
+        apps::Embedded::make(*processes_[i], document, i * 1000 + incarnations_, incarnations_, problems);
+    if (!placers_[i]) throw std::runtime_error(problems.at(0));
+    placers_[i]->list = list_address();
+    if (made) made(i, *placers_[i]);
+    const std::string wrong = placers_[i]->start();
+    if (!wrong.empty()) throw std::runtime_error(wrong);
+}
+
+void SimGround::kill_placer(std::size_t i) {
+    world_.kill(*processes_[i]);
+    placers_[i].reset();
+}
+
+void SimGround::stall_placer(std::size_t i, bool on) {
+    if (on) world_.stall(*processes_[i]);
+    else world_.resume(*processes_[i]);
+}
+
+void SimGround::node_killed(const std::string& node) {
+    if (const auto it = nodes_.find(node); it != nodes_.end()) world_.kill(*it->second);
+}
+
+standin::Outcome play(World& world, standin::Play& day) {
+    standin::Outcome out;
+    bool over = false;
+    const std::string wrong = day.start([&](const standin::Outcome& o) {
+        out = o;
+        over = true;
+    });
+    if (!wrong.empty()) throw std::runtime_error(wrong);
+    for (int second = 0; !over && second < 24 * 3600; ++second) world.run_until(world.now() + kSecond);
+    if (!over) throw std::runtime_error("the day does not end");
+    return out;
+}
+
+}  // namespace whinpost::lab
--- /dev/null
+++ b/src/edge/edge.cpp
@@ -0,0 +1,758 @@
+#include "edge/edge.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "edge/held.h"
+
+namespace whinpost::edge {
+
+namespace {
+
+using log::Level;
+
+// Rounds of the planner are so far apart at least. What comes in between is decided together: at a flood's
+// pace the cost of a round is shared, at a trickle's nothing waits longer than this.
+constexpr Nanos kRoundPace = 1 * kMillisecond;
+
+// An answer is on its way to the owner for a while; it leaves so much before the owner gives up: two
+// hundredths of what is left, and no less than covers a busy loop and a network within one site.
+constexpr Nanos kAnswerEarly = 20 * kMillisecond;
+Nanos early(Nanos time_left) { return std::min(time_left / 2, kAnswerEarly + time_left / 50); }
+
+// A launch that was given up is remembered for so long: longer than any node's line of asks and starts, so
+// that its late yes is still known for what it is.
+constexpr Nanos kRemembered = 30 * kSecond;
+
+// An owner that was turned away at the door is asked to stay away for a moment, so that a flood does not come
+// back at once. Below the second or so that owners wait of themselves.
+constexpr Nanos kStayAway = 500 * kMillisecond;
+
+constexpr double kMostAmount = 1e9;  // cores or memory; more is a mistake, and sums of it stay exact enough
+constexpr Nanos kLongestWait = 24 * 3600 * kSecond;
+constexpr std::size_t kLongestName = 256;
+
+Reason reason_of(v1::Reason r) { return r >= 0 && r <= 7 ? static_cast<Reason>(r) : Reason::untold; }
+
+std::string_view words(Reason r) {
+    switch (r) {
+        case Reason::untold:
+            break;
+        case Reason::no_cores:
+            return "no cores";
+        case Reason::no_memory:
+            return "no memory";
+        case Reason::queue_full:
+            return "too many offers wait";
+        case Reason::not_here:
+            return "not here";
+        case Reason::evicted:
+            return "evicted";
+        case Reason::pushed_out:
+            return "pushed out";
+        case Reason::sent_away:
+            return "sent away";
+    }
+    return "no reason told";
+}
+
+std::string_view words(Ending e) {
+    switch (e) {
+        case Ending::served:
+            return "served";
+        case Ending::error:
+            return "error";
+        case Ending::refused:
+            return "refused";
+        case Ending::timed_out:
+            return "no answer in time";
+        case Ending::unconnected:
+            return "not connected";
+        case Ending::reset:
+            return "broken off";
+        case Ending::cancelled:
+            return "stopped";
+        case Ending::unsent:
+            return "never sent";
+        case Ending::unknown:
+            break;
+    }
+    return "unknown";
+}
+
+}  // namespace
+
+Report report_of(const v1::Report& r) {
+    Report out;
+    const auto take = [](bool has, double v, double& to, bool& flag) {
+        flag = has && std::isfinite(v);
+        if (flag) to = v;
+    };
+    take(r.has_free_cores(), r.free_cores(), out.free_cores, out.has_free_cores);
+    take(r.has_free_memory(), r.free_memory(), out.free_memory, out.has_free_memory);
+    take(r.has_busy(), r.busy(), out.busy, out.has_busy);
+    take(r.has_queued(), r.queued(), out.queued, out.has_queued);
+    return out;
+}
+
+Edge::Edge(net::Loop& loop, const log::Log& log, Identity identity, ledger::Ledger& ledger,
+           intake::Intake& intake, std::vector<std::string> group_names, std::size_t machine_kinds,
+           link::Terms terms, int dials_at_once, int dials_a_second)
+    : loop_(loop), log_(log), identity_(std::move(identity)), ledger_(ledger), intake_(intake),
+      group_names_(std::move(group_names)), kinds_(machine_kinds), wheel_(loop.now()),
+      tick_(loop.timer([this] { turn(); })), round_(loop.timer([this] { round(); })),
+      nodes_(std::make_unique<NodeDoor>(*this, terms, dials_at_once, dials_a_second, identity_.seed)) {}
+
+Edge::~Edge() {
+    // Sessions and links point into `held_` and the wheel: they go first.
+    planning_ = nullptr;
+    owners_.reset();
+    list_.reset();
+    held_.clear();
+    nodes_.reset();
+}
+
+std::string Edge::start(const std::string& listen, const std::string& list, bool list_on_request) {
+    std::string error;
+    OwnerDoor* door = nullptr;
+    auto listener = loop_.listen(
+        listen, [this](std::unique_ptr<net::Stream> s) { owners_->accept(std::move(s)); }, error);
+    if (!listener) return listen + ": " + error;
+    owners_ = std::make_unique<OwnerDoor>(*this, std::move(listener));
+    door = owners_.get();
+    list_ = std::make_unique<ListDoor>(*this, list, list_on_request);
+    list_->connect();
+    log_(Level::info, "listening",
+         {{"placer", identity_.name}, {"address", door->address()}, {"list", list}});
+    return "";
+}
+
+std::string Edge::address() const { return owners_ ? owners_->address() : ""; }
+
+link::Link* Edge::link(std::string_view node) {
+    NodePeer* p = nodes_->find(node);
+    return p ? &p->link : nullptr;
+}
+
+// ---------------------------------------------------------------- time
+
+void Edge::arm(wheel::Timer& t, Nanos at) {
+    wheel_.arm(t, at);
+    if (!tick_at_ || at < tick_at_) {
+        tick_at_ = at;
+        tick_->arm(at);
+    }
+}
+
+void Edge::turn() {
+    tick_at_ = 0;
+    wheel_.turn(loop_.now());
+    const Nanos next = wheel_.next();
+    if (next && (!tick_at_ || next < tick_at_)) {
+        tick_at_ = std::max(next, loop_.now() + wheel::Wheel::kTick / 2);
+        tick_->arm(tick_at_);
+    }
+}
+
+void Edge::touch() {
+    if (round_at_) return;
+    round_at_ = std::max(loop_.now(), last_round_ + kRoundPace);
+    round_->arm(round_at_);
+}
+
+void Edge::run_later() {
+    while (!later_.empty()) {
+        const auto f = std::move(later_.front());
+        later_.pop_front();
+        f();
+    }
+}
+
+void Edge::round() {
+    round_at_ = 0;
+    const Nanos now = loop_.now();
+    last_round_ = now;
+    ++counts_.rounds;
+    if (!planning_) return;
+    run_later();
+    planning_->round(now);
+    run_later();
+    check_closed();
+}
+
+void Edge::wake(Nanos at) {
+    // The module asks anew in each round for what it needs: the earliest asked for since the last one counts.
+    if (round_at_ && round_at_ <= at) return;
+    round_at_ = std::max(at, last_round_ + kRoundPace);
+    round_->arm(round_at_);
+}
+
+void Edge::note(std::string_view line) { log_(Level::info, "planner", {{"says", line}}); }
+
+// ---------------------------------------------------------------- from owners
+
+Held* Edge::held(planner::ContainerNumber n) {
+    const auto it = held_.find(n);
+    return it == held_.end() ? nullptr : it->second.get();
+}
+
+void Edge::offer(OwnerSession& from, const v1::Offer& o) {
+    const Nanos now = loop_.now();
+    const int group = static_cast<int>(std::find(group_names_.begin(), group_names_.end(), o.group()) -
+                                       group_names_.begin());
+    const intake::Limit limit = intake_.take(now, *from.share, group);
+    if (limit != intake::Limit::none) {
+        ++counts_.turned_away;
+        v1::ToOwner m;
+        m.mutable_deferred()->set_id(o.id());
+        m.mutable_deferred()->set_stay_away(kStayAway);
+        m.mutable_deferred()->set_why(std::string(intake::name(limit)));
+        from.send(m);
+        log_(Level::debug, "turned_away",
+             {{"owner", from.name()}, {"container", o.container()}, {"limit", intake::name(limit)}});
+        return;
+    }
+    Asked asked;
+    asked.cores = o.cores();
+    asked.memory = o.memory();
+    asked.group = group;
+    asked.time_left = o.time_left() - early(o.time_left());
+    asked.life_left = o.life_left();
+    asked.came_again = o.came_again();
+    const std::uint64_t service = planner::mark_of(o.service());
+    ledger::Record& r = ledger_.take(now, o.container(), service, asked);
+    auto h = std::make_unique<Held>(*this, r);
+    h->owner = &from;
+    h->id = o.id();
+    h->service = o.service();
+    from.open[o.id()] = h.get();
+    arm(h->answer_by, r.until);
+    held_[r.number] = std::move(h);
+    v1::ToOwner m;
+    m.mutable_taken()->set_id(o.id());
+    from.send(m);
+    planning_->take(now, r.number, service, asked);
+    touch();
+}
+
+void Edge::hand_over(OwnerSession& from, const v1::HandOver& h) {
+    const Nanos now = loop_.now();
+    const v1::Offer& o = h.offer();
+    NodePeer* peer = nodes_->find(h.node());
+    if (!peer || !peer->node.known) {
+        // Where it ran is in no list of this placer: it can't be looked after, and its owner is to ask anew.
+        v1::ToOwner m;
+        m.mutable_over()->set_id(o.id());
+        m.mutable_over()->set_how(v1::Over::LOST);
+        from.send(m);
+        return;
+    }
+    Asked asked;
+    asked.cores = o.cores();
+    asked.memory = o.memory();
+    asked.group = static_cast<int>(std::find(group_names_.begin(), group_names_.end(), o.group()) -
+                                   group_names_.begin());
+    asked.time_left = o.time_left();
+    asked.life_left = o.life_left();
+    const std::uint64_t service = planner::mark_of(o.service());
+    ledger::Record& r = ledger_.take_over(now, o.container(), service, asked, peer->node);
+    auto held = std::make_unique<Held>(*this, r);
+    held->owner = &from;
+    held->id = o.id();
+    held->waiting = false;
+    held->bound = 1;
+    from.open[o.id()] = held.get();
+    held_[r.number] = std::move(held);
+    launches_[r.launches[0].number] = &r.launches[0];
+    planning_->take_over(now, r.number, service, asked, peer->number);
+    peer->link.adopt(r.launches[0]);
+    touch();
+}
+
+// The owner wants it no more: a waiting one is out of the planner's hands at once; what may be at a node is
+// stopped.
+void Edge::withdraw(Held& h) {
+    const Nanos now = loop_.now();
+    ledger::Record& r = *h.record;
+    h.stopping = true;
+    ledger_.give(now, r, ledger::Answer::withdrawn);
+    if (h.waiting) {
+        h.waiting = false;
+        intake_.answered(h.owner ? &*h.owner->share : nullptr, r.group_index);
+    }
+    planning_->withdrawn(now, r.number);
+    if (ledger::Launch* l = r.out) {
+        NodePeer& peer = *nodes_->find(l->node->name);
+        if (peer.link.take_back(*l)) launch_over(*l, Ending::unsent, Reason::untold, {});
+        else {
+            v1::ToNode m;
+            m.mutable_stop()->set_launch(l->number);
+            peer.send(m);
+            ++counts_.stops;
+        }
+    }
+    finish(h);
+    touch();
+}
+
+void Edge::owner_left(OwnerSession& s) {
+    std::vector<Held*> theirs;
+    for (auto& [number, h] : held_)
+        if (h->owner == &s) theirs.push_back(h.get());
+    log_(Level::info, "owner_left", {{"owner", s.name()}, {"containers", theirs.size()}});
+    for (Held* h : theirs) {
+        if (h->waiting) {
+            h->waiting = false;
+            intake_.answered(&*s.share, h->record->group_index);
+        }
+        h->owner = nullptr;
+        // What has been placed runs on: its owner hands it to a placer when it is back. What waits is not
+        // wanted.
+        if (h->record->answer == ledger::Answer::none) withdraw(*h);
+    }
+    s.open.clear();
+}
+
+// ---------------------------------------------------------------- decisions
+
+void Edge::fault(std::string_view what, planner::ContainerNumber n, std::string_view why) {
+    ++counts_.planner_faults;
+    log_(Level::warning, "planner_fault", {{"decision", what}, {"container", n}, {"reason", why}});
+}
+
+void Edge::bind(planner::ContainerNumber n, planner::NodeNumber to, Nanos time_out) {
+    const Nanos now = loop_.now();
+    Held* h = held(n);
+    if (!h) return fault("bind", n, "the container is not held here");
+    const int index = h->bound++;
+    const auto untaken = [this, n, index](std::string_view why) {
+        fault("bind", n, why);
+        // The planner counts it as out: it hears that nothing was sent, once this round is over.
+        later([this, n, index] {
+            const Held* still = held(n);
+            planning_->ended(loop_.now(), n, index, Ending::unsent, Reason::untold,
+                             !still || still->record->answer != ledger::Answer::none, {});
+        });
+    };
+    if (to >= nodes_->size()) return untaken("no such node");
+    NodePeer& peer = nodes_->at(to);
+    ledger::Refusal why{};
+    ledger::Launch* l = ledger_.launch(now, *h->record, peer.node, time_out, why);
+    if (!l) return untaken(ledger::words(why));
+    launches_[l->number] = l;
+    arm(h->launch_by, l->until);
+    if (log_.says(Level::debug))
+        log_(Level::debug, "bind",
+             {{"container", h->record->container}, {"launch", l->number}, {"node", l->node->name}});
+    peer.link.offer(now, *l);
+}
+
+void Edge::defer(planner::ContainerNumber n, Nanos stay_away) {
+    Held* h = held(n);
+    if (!h) return fault("defer", n, "the container is not held here");
+    if (h->record->answer != ledger::Answer::none)
+        return;  // crossed: withdrawn, placed, or answered by the clock
+    if (!ledger_.may_defer(*h->record)) return fault("defer", n, "a launch may have run");
+    answer(*h, ledger::Answer::deferred, stay_away, h->why.empty() ? "no node has room" : h->why);
+}
+
+void Edge::kill(planner::ContainerNumber n) {
+    Held* h = held(n);
+    if (!h) return fault("kill", n, "the container is not held here");
+    if (h->record->answer != ledger::Answer::none) return;
+    answer(*h, ledger::Answer::killed, 0, h->why.empty() ? "no launch was answered" : h->why);
+}
+
+void Edge::move(planner::ContainerNumber n) {
+    Held* h = held(n);
+    if (!h || !h->record->holds) return fault("move", n, "no node holds the container");
+    h->moving = true;
+    v1::ToNode m;
+    m.mutable_stop()->set_launch(h->record->holds->number);
+    nodes_->find(h->record->holds->node->name)->send(m);
+    ++counts_.stops;
+    log_(Level::info, "move", {{"container", h->record->container}, {"node", h->record->holds->node->name}});
+}
+
+void Edge::stop_waiting(planner::ContainerNumber n, int) {
+    Held* h = held(n);
+    if (!h || !h->record->out || h->record->holds) return;
+    ledger::Launch& l = *h->record->out;
+    later([this, number = l.number] {
+        ledger::Launch* l = launch(number);
+        if (!l || l->over || l->accepted) return;
+        const bool here = nodes_->find(l->node->name)->link.take_back(*l);
+        launch_over(*l, here ? Ending::unsent : Ending::cancelled, Reason::untold, {});
+    });
+}
+
+void Edge::probe(planner::NodeNumber n) {
+    if (n >= nodes_->size()) return fault("probe", 0, "no such node");
+    NodePeer& peer = nodes_->at(n);
+    if (peer.link.state() != link::State::up) return;  // no answer: the planner takes it as silent
+    v1::ToNode m;
+    m.mutable_probe()->set_probe(++counts_.probes);
+    peer.send(m);
+}
+
+void Edge::follow_list() { list_->follow(); }
+void Edge::fetch_list() { list_->fetch(); }
+
+// ---------------------------------------------------------------- from nodes
+
+ledger::Launch* Edge::launch(std::uint64_t number) {
+    const auto it = launches_.find(number);
+    return it == launches_.end() ? nullptr : it->second;
+}
+
+void Edge::node_accepted(ledger::Launch& l) {
+    const Nanos now = loop_.now();
+    if (l.accepted && !l.over) return;  // said twice
+    Held& h = *held(l.record->number);
+    if (!ledger_.accepted(now, l)) {
+        // Too late: another copy is wanted, or none. One that must not run twice is never stopped behind its
+        // owner's back: the owner is told where it is as soon as it has its answer.
+        if (l.record->group->effect == Effect::idempotent || h.stopping || l.record->holds) {
+            v1::ToNode m;
+            m.mutable_stop()->set_launch(l.number);
+            nodes_->find(l.node->name)->send(m);
+            ++counts_.stops;
+        } else {
+            h.found = &l;
+            if (l.record->answer == ledger::Answer::killed && h.owner) {
+                v1::ToOwner m;
+                m.mutable_found()->set_id(h.id);
+                m.mutable_found()->set_node(l.node->name);
+                h.owner->send(m);
+                ++counts_.late_found;
+            }
+        }
+        return;
+    }
+    h.answer_by.disarm();
+    h.launch_by.disarm();
+    if (h.waiting) {
+        h.waiting = false;
+        intake_.answered(h.owner ? &*h.owner->share : nullptr, l.record->group_index);
+    }
+    if (h.owner) {
+        v1::ToOwner m;
+        m.mutable_placed()->set_id(h.id);
+        m.mutable_placed()->set_node(l.node->name);
+        h.owner->send(m);
+    }
+    planning_->accepted(now, l.record->number, h.bound - 1);
+    touch();
+}
+
+void Edge::node_runs(ledger::Launch& l) {
+    const Nanos now = loop_.now();
+    if (!ledger_.runs(now, l)) return;
+    Held& h = *held(l.record->number);
+    if (h.owner) {
+        v1::ToOwner m;
+        m.mutable_runs()->set_id(h.id);
+        h.owner->send(m);
+    }
+    planning_->runs(now, l.record->number, h.bound - 1);
+    touch();
+}
+
+void Edge::node_ended(ledger::Launch& l, const v1::Ended& e) {
+    Ending how = Ending::unknown;
+    switch (e.how()) {
+        case v1::Ended::SERVED:
+            how = Ending::served;
+            break;
+        case v1::Ended::ERROR:
+            how = Ending::error;
+            break;
+        case v1::Ended::REFUSED:
+            // After a yes it is no refusal any more: it was placed, and is lost.
+            how = l.accepted ? Ending::reset : Ending::refused;
+            break;
+        case v1::Ended::RESET:
+            how = Ending::reset;
+            break;
+        case v1::Ended::STOPPED:
+            how = Ending::cancelled;
+            break;
+        default:
+            break;
+    }
+    launch_over(l, how, reason_of(e.reason()), report_of(e.report()));
+}
+
+void Edge::node_note(ledger::Launch& l, const v1::Note& n) {
+    if (l.over || !std::isfinite(n.value())) return;
+    const Nanos now = loop_.now();
+    const int index = held(l.record->number)->bound - 1;
+    switch (n.kind()) {
+        case v1::Note::CORES:
+            planning_->uses_cores(now, l.record->number, index, n.value());
+            break;
+        case v1::Note::MEMORY:
+            planning_->uses_memory(now, l.record->number, index, n.value());
+            break;
+        case v1::Note::SERVED_SHARE:
+            planning_->served_share(now, l.record->number, index, n.value());
+            break;
+        case v1::Note::MACHINE_MEMORY:
+            planning_->machine_memory(now, l.record->number, index, n.value());
+            break;
+        default:
+            return;
+    }
+    touch();
+}
+
+void Edge::node_drains(NodePeer& peer) {
+    const Nanos now = loop_.now();
+    ledger_.said(now, peer.node, true);
+    peer.link.drain_heard(now);
+    log_(Level::info, "node_drains", {{"node", peer.node.name}});
+    if (!peer.node.known) return;
+    Listed as = peer.node.listed;
+    if (as.stage == Stage::serving) as.stage = Stage::draining;
+    planning_->node(now, peer.number, planner::mark_of(peer.node.name), as);
+    planning_->list_done(now, false);
+    touch();
+}
+
+// ---------------------------------------------------------------- ends and answers
+
+void Edge::launch_over(ledger::Launch& l, Ending how, Reason why, const Report& report) {
+    const Nanos now = loop_.now();
+    ledger::Record& r = *l.record;
+    Held& h = *held(r.number);
+    if (!ledger_.ended(now, l, how)) {
+        if (h.found == &l) h.found = nullptr;  // a copy that nobody waited for has gone
+        return;
+    }
+    if (NodePeer* peer = nodes_->find(l.node->name)) {
+        peer->link.forget(l);
+        if (how == Ending::timed_out || how == Ending::cancelled) {
+            // Best effort, so that no copy stands idle; one that may not run twice is left for its owner to
+            // decide on.
+            if (r.group->effect == Effect::idempotent && !l.accepted) {
+                v1::ToNode m;
+                m.mutable_stop()->set_launch(l.number);
+                peer->send(m);
+                ++counts_.stops;
+            }
+        }
+    }
+    h.launch_by.disarm();
+    const bool was_placed = l.accepted;
+    if (!was_placed)
+        h.why = l.node->name + ": " + std::string(how == Ending::refused ? words(why) : words(how));
+    if (log_.says(Level::debug))
+        log_(Level::debug, "launch_over",
+             {{"container", r.container},
+              {"launch", l.number},
+              {"node", l.node->name},
+              {"end", words(how)},
+              {"reason", words(why)}});
+    if (was_placed && h.owner) {
+        v1::ToOwner m;
+        v1::Over& over = *m.mutable_over();
+        over.set_id(h.id);
+        over.set_how(h.moving && how == Ending::cancelled ? v1::Over::MOVED
+                     : how == Ending::served              ? v1::Over::SERVED
+                     : how == Ending::error               ? v1::Over::ERROR
+                     : how == Ending::cancelled           ? v1::Over::STOPPED
+                     : why == Reason::untold              ? v1::Over::LOST
+                                                          : v1::Over::RESET);
+        over.set_reason(static_cast<v1::Reason>(why));
+        h.owner->send(m);
+    }
+    planning_->ended(now, r.number, h.bound - 1, how, why, r.answer != ledger::Answer::none, report);
+    finish(h);
+    touch();
+}
+
+void Edge::answer(Held& h, ledger::Answer a, Nanos stay_away, std::string_view why) {
+    const Nanos now = loop_.now();
+    ledger::Record& r = *h.record;
+    if (!ledger_.give(now, r, a)) return;
+    h.answer_by.disarm();
+    if (h.waiting) {
+        h.waiting = false;
+        intake_.answered(h.owner ? &*h.owner->share : nullptr, r.group_index);
+    }
+    if (h.owner) {
+        v1::ToOwner m;
+        if (a == ledger::Answer::deferred) {
+            m.mutable_deferred()->set_id(h.id);
+            m.mutable_deferred()->set_stay_away(stay_away);
+            m.mutable_deferred()->set_why(std::string(why));
+        } else {
+            m.mutable_killed()->set_id(h.id);
+            m.mutable_killed()->set_why(std::string(why));
+        }
+        h.owner->send(m);
+        if (a == ledger::Answer::killed && h.found) {
+            m.mutable_found()->set_id(h.id);
+            m.mutable_found()->set_node(h.found->node->name);
+            h.owner->send(m);
+            ++counts_.late_found;
+        }
+    }
+    if (log_.says(Level::debug))
+        log_(Level::debug, a == ledger::Answer::deferred ? "deferred" : "killed",
+             {{"container", r.container}, {"reason", why}});
+    later([this, n = r.number] {
+        if (Held* still = held(n)) finish(*still);
+    });
+}
+
+// Nothing more can come of it, but for a late yes: it is kept in mind for that long, and then forgotten.
+void Edge::finish(Held& h) {
+    ledger::Record& r = *h.record;
+    if (!r.over) return;
+    h.answer_by.disarm();
+    h.launch_by.disarm();
+    if (h.owner && !h.found) {
+        bool maybe = false;
+        for (const ledger::Launch& l : r.launches) maybe = maybe || (l.may_have_run && !l.accepted);
+        if (!maybe || r.answer == ledger::Answer::placed) h.owner->open.erase(h.id);
+    }
+    if (h.forget_at.armed()) return;
+    bool late = false;
+    for (const ledger::Launch& l : r.launches) late = late || (l.may_have_run && !l.accepted);
+    // Also what ended well is kept to the end of this pass: calls on it may be under way.
+    arm(h.forget_at, loop_.now() + (late ? kRemembered : kMillisecond));
+}
+
+void Edge::drop(Held& h) {
+    ledger::Record& r = *h.record;
+    if (h.owner) h.owner->open.erase(h.id);
+    for (ledger::Launch& l : r.launches) launches_.erase(l.number);
+    const std::uint64_t number = r.number;
+    ledger_.forget(r);
+    held_.erase(number);  // destroys `h`
+}
+
+// The launch has had its time. Where it still lies here, nothing of it was sent.
+void Edge::launch_due(Held& h) {
+    ledger::Launch* l = h.record->out;
+    if (!l || l->accepted) return;
+    NodePeer& peer = *nodes_->find(l->node->name);
+    launch_over(*l, peer.link.take_back(*l) ? Ending::unsent : Ending::timed_out, Reason::untold, {});
+}
+
+// The owner is about to give up. The planner is heard first: told that the launch that is out has had its
+// time, it answers. If it says nothing, the ledger knows what can honestly be said.
+void Edge::answer_due(Held& h) {
+    const std::uint64_t n = h.record->number;
+    if (h.record->answer != ledger::Answer::none) return;
+    launch_due(h);
+    Held* still = held(n);
+    if (!still || still->record->answer != ledger::Answer::none) return;
+    ++ledger_.tally().answered_by_clock;
+    planning_->withdrawn(loop_.now(), n);
+    answer(*still, ledger_.honest(*still->record), 0, still->why.empty() ? "no node in time" : still->why);
+    touch();
+}
+
+// ---------------------------------------------------------------- the list
+
+// How far two ages of one start may lie apart: they come over a network that delays them differently.
+constexpr Nanos kSameStart = 500 * kMillisecond;
+
+void Edge::entries(const v1::Entries& list) {
+    const Nanos now = loop_.now();
+    ++counts_.lists;
+    std::vector<char> named(nodes_->size(), 0);
+    for (const v1::Entry& e : list.entries()) {
+        NodePeer& peer = nodes_->meet(e.node());
+        named.resize(std::max<std::size_t>(named.size(), peer.number + 1));
+        named[peer.number] = 1;
+        ledger::Node& n = peer.node;
+        Listed l;
+        l.zone = static_cast<int>(e.zone());
+        l.cell = static_cast<int>(e.cell());
+        l.kind = static_cast<int>(e.kind());
+        l.free_cores = e.free_cores();
+        l.free_memory = e.free_memory();
+        l.stage = e.stage() == v1::Entry::SERVING    ? Stage::serving
+                  : e.stage() == v1::Entry::DRAINING ? Stage::draining
+                                                     : Stage::gone;
+        l.started = e.up_for() > 0 ? now - e.up_for() : 0;
+        if (n.listed.started && l.started && std::abs(l.started - n.listed.started) < kSameStart)
+            l.started = n.listed.started;
+        const bool drained_before = n.drains();
+        ledger_.listed(now, n, l);
+        if (l.stage == Stage::serving && n.drain_said) l.stage = Stage::draining;  // the node knows better
+        if (!e.address().empty()) peer.address = e.address();
+        planning_->node(now, peer.number, planner::mark_of(n.name), l);
+        if (l.stage == Stage::gone) peer.link.gone(now);
+        else peer.link.want(now, true);
+        if (n.drains() && !drained_before) peer.link.drain_heard(now);
+    }
+    if (list.whole())
+        for (std::size_t i = 0; i < nodes_->size(); ++i) {
+            NodePeer& peer = nodes_->at(static_cast<planner::NodeNumber>(i));
+            if (i < named.size() && named[i]) continue;
+            if (!peer.node.known) continue;
+            ledger_.gone(now, peer.node);
+            peer.link.gone(now);
+        }
+    planning_->list_done(now, list.whole());
+    if (!begun_) {
+        begun_ = true;
+        planning_->begin(now);
+    }
+    log_(list.whole() ? Level::info : Level::debug, "list",
+         {{"number", list.number()}, {"whole", list.whole()}, {"entries", list.entries_size()}});
+    touch();
+}
+
+void Edge::list_failed(std::string_view why) {
+    log_(Level::warning, "list_failed", {{"reason", why}});
+    if (planning_ && begun_) planning_->list_failed(loop_.now());
+    touch();
+}
+
+// ---------------------------------------------------------------- closing
+
+void Edge::close(std::function<void()> done) {
+    done_ = std::move(done);
+    intake_.close();
+    if (owners_) owners_->stop_listening();
+    log_(Level::info, "closing", {{"waiting", intake_.waiting()}});
+    close_timer_ = loop_.timer([this] { check_closed(); });
+    check_closed();
+}
+
+void Edge::check_closed() {
+    if (!done_) return;
+    if (intake_.waiting() == 0 && (!owners_ || owners_->flushed())) {
+        const auto done = std::exchange(done_, nullptr);
+        log_(Level::info, "closed", {{"taken", ledger_.tally().taken}, {"placed", ledger_.tally().placed}});
+        done();
+        return;
+    }
+    close_timer_->arm(loop_.now() + 5 * kMillisecond);
+}
+
+// ---------------------------------------------------------------- checks at the owners' door
+
+std::string wrong_with(const v1::Offer& o, const std::vector<std::string>& groups) {
+    const auto amount = [](double v) { return std::isfinite(v) && v >= 0 && v <= kMostAmount; };
+    if (o.id() == 0) return "offer.id: must not be 0";
+    if (o.container().empty() || o.container().size() > kLongestName)
+        return "offer.container: must have 1 to 256 bytes";
+    if (o.service().empty() || o.service().size() > kLongestName)
+        return "offer.service: must have 1 to 256 bytes";
+    if (std::find(groups.begin(), groups.end(), o.group()) == groups.end())
+        return "offer.group: no such queue group";
+    if (!amount(o.cores())) return "offer.cores: must be a number from 0 to 1e9";
+    if (!amount(o.memory())) return "offer.memory: must be a number from 0 to 1e9";
+    if (o.time_left() <= 0 || o.time_left() > kLongestWait)
+        return "offer.time_left: must be over 0 and at most a day";
+    if (o.life_left() < 0) return "offer.life_left: must not be negative";
+    return "";
+}
+
+}  // namespace whinpost::edge
--- /dev/null
+++ b/src/edge/node_door.cpp
@@ -0,0 +1,246 @@
+#include <algorithm>
+
+#include "edge/held.h"
+
+namespace whinpost::edge {
+
+namespace {
+using log::Level;
+constexpr std::size_t kLongestMessage = 1 << 20;  // a greeting names every launch that the node holds
+}  // namespace
+
+// ---------------------------------------------------------------- the door
+
+NodeDoor::NodeDoor(Edge& e, link::Terms t, int dials_at_once, int dials_a_second, std::uint64_t seed)
+    : edge(e), terms(t), dialler(dials_at_once, dials_a_second), seed_(seed) {}
+
+NodePeer& NodeDoor::meet(std::string_view name) {
+    if (NodePeer* p = find(name)) return *p;
+    const auto number = static_cast<planner::NodeNumber>(peers_.size());
+    // Another jitter for each link, and for each placer: the same for the same seed.
+    const std::uint64_t seed = (seed_ ^ planner::mark_of(name)) * 0x9e3779b97f4a7c15u;
+    peers_.push_back(std::make_unique<NodePeer>(*this, edge.ledger_.meet(name), number, seed));
+    names_[std::string(name)] = peers_.back().get();
+    return *peers_.back();
+}
+
+NodePeer* NodeDoor::find(std::string_view name) {
+    const auto it = names_.find(name);
+    return it == names_.end() ? nullptr : it->second;
+}
+
+namespace {
+NodePeer& peer_of(const link::Link& l) { return *static_cast<NodePeer*>(l.tag); }
+}  // namespace
+
+void NodeDoor::dial(link::Link& l) {
+    NodePeer& p = peer_of(l);
+    p.written = 0;
+    p.stream = edge.loop_.dial(p.address, p);
+}
+void NodeDoor::drop(link::Link& l, bool at_once) {
+    NodePeer& p = peer_of(l);
+    if (p.stream && at_once) p.stream->abort();
+    p.stream.reset();
+}
+void NodeDoor::write(link::Link& l, ledger::Launch& launch) {
+    const ledger::Record& r = *launch.record;
+    v1::ToNode m;
+    v1::Launch& out = *m.mutable_launch();
+    out.set_launch(launch.number);
+    out.set_container(r.container);
+    if (const Held* h = edge.held(r.number)) out.set_service(h->service);
+    out.set_group(static_cast<std::uint32_t>(r.group_index));
+    out.set_cores(r.asked.cores);
+    out.set_memory(r.asked.memory);
+    out.set_life_left(r.asked.life_left);
+    out.set_ask(r.number);
+    peer_of(l).send(m);
+}
+void NodeDoor::ask_for_life(link::Link& l) {
+    v1::ToNode m;
+    m.mutable_probe()->set_probe(0);  // no probe of the planner's: its answer is only a sign of life
+    peer_of(l).send(m);
+}
+void NodeDoor::ask_after(link::Link& l, ledger::Launch& launch) {
+    v1::ToNode m;
+    m.mutable_adopt()->set_launch(launch.number);
+    m.mutable_adopt()->set_container(launch.record->container);
+    peer_of(l).send(m);
+}
+std::size_t NodeDoor::unsent(const link::Link& l) const {
+    const NodePeer& p = peer_of(l);
+    return p.stream ? p.stream->unsent() : 0;
+}
+std::uint64_t NodeDoor::handed(const link::Link& l) const {
+    const NodePeer& p = peer_of(l);
+    return p.stream ? p.stream->handed() : 0;
+}
+std::uint64_t NodeDoor::written(const link::Link& l) const {
+    const NodePeer& p = peer_of(l);
+    return p.stream ? p.stream->handed() + p.stream->unsent() : 0;
+}
+bool NodeDoor::may_still_send(Nanos now, const ledger::Launch& l) const {
+    return edge.ledger_.may_still_send(now, l);
+}
+void NodeDoor::over(Nanos, ledger::Launch& l, Ending how) {
+    // A bind may be under way in the planner: it hears of it after its round.
+    edge.later([this, number = l.number, how] {
+        if (ledger::Launch* still = edge.launch(number)) edge.launch_over(*still, how, Reason::untold, {});
+    });
+}
+void NodeDoor::wake(link::Link& l, Nanos at) { edge.arm(peer_of(l).tick, std::max(at, edge.loop_.now())); }
+
+// ---------------------------------------------------------------- one node
+
+NodePeer::NodePeer(NodeDoor& d, ledger::Node& n, planner::NodeNumber num, std::uint64_t seed)
+    : door(d), node(n), number(num), tick(*this), link(d, d.dialler, n, d.terms, seed) {
+    link.tag = this;
+}
+
+void NodePeer::Tick::due(Nanos now) { peer.link.tick(now); }
+
+void NodePeer::send(const v1::ToNode& m) {
+    if (link.state() == link::State::up || m.has_hello()) sender_.send(stream.get(), m);
+}
+
+void NodePeer::connected() {
+    const Nanos now = door.edge.loop_.now();
+    link.connected(now);
+    v1::ToNode m;
+    m.mutable_hello()->set_version(kVersion);
+    m.mutable_hello()->set_name(door.edge.identity_.name);
+    m.mutable_hello()->set_incarnation(door.edge.identity_.incarnation);
+    send(m);
+    incarnation_ = 0;
+    name_.clear();
+}
+
+void NodePeer::drained() { link.drained(door.edge.loop_.now()); }
+
+void NodePeer::closed(net::Closed why) {
+    const Nanos now = door.edge.loop_.now();
+    const std::uint64_t handed = stream ? stream->handed() : 0;
+    stream.reset();
+    door.edge.log_(Level::debug, "node_closed", {{"node", node.name}, {"reason", net::words(why)}});
+    if (link.state() == link::State::dialling) link.dial_failed(now);
+    else link.broken(now, handed);
+    door.edge.touch();
+}
+
+bool NodePeer::refuse(const std::string& why) {
+    Edge& edge = door.edge;
+    ++edge.counts_.bad_peers;
+    edge.log_(Level::warning, "bad_node", {{"node", node.name}, {"reason", why}});
+    v1::ToNode m;
+    m.mutable_error()->set_text(why);
+    sender_.send(stream.get(), m);
+    const std::uint64_t handed = stream->handed();
+    stream.reset();
+    link.broken(edge.loop_.now(), handed);
+    edge.touch();
+    return false;
+}
+
+std::size_t NodePeer::received(std::string_view in) {
+    bool too_long = false;
+    link.heard(door.edge.loop_.now());
+    net::Stream* const on = stream.get();
+    const std::size_t done = net::frames(in, kLongestMessage, too_long, [this, on](std::string_view f) {
+        return message(f) && stream.get() == on;
+    });
+    if (too_long && stream.get() == on)
+        refuse("a message is longer than " + std::to_string(kLongestMessage) + " bytes");
+    return done;
+}
+
+bool NodePeer::message(std::string_view bytes) {
+    Edge& edge = door.edge;
+    const Nanos now = edge.loop_.now();
+    v1::FromNode m;
+    if (!m.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return refuse("not a message of this protocol");
+    if (name_.empty()) {
+        if (m.of_case() == v1::FromNode::kError) {
+            edge.log_(Level::warning, "node_says", {{"node", node.name}, {"error", m.error().text()}});
+            return true;
+        }
+        if (m.of_case() != v1::FromNode::kHello) return refuse("the first message must be a hello");
+        if (m.hello().version() != kVersion)
+            return refuse("version " + std::to_string(m.hello().version()) + " is not spoken here, only " +
+                          std::to_string(kVersion));
+        // Another node may stand at the address now: what is meant for one is not told to the other.
+        if (m.hello().name() != node.name)
+            return refuse("hello.name: not the node that the list has at this address");
+        if (m.hello().incarnation() == 0) return refuse("hello.incarnation: must not be 0");
+        name_ = m.hello().name();
+        incarnation_ = m.hello().incarnation();
+        return true;
+    }
+    // The launch that a message names: null and `never` false for one that is forgotten by now.
+    bool never = false;
+    const auto launch = [&](std::uint64_t n) {
+        ledger::Launch* l = edge.launch(n);
+        never = !l && !edge.ledger_.given(n);
+        if (l && l->node != &node) {
+            never = true;
+            l = nullptr;
+        }
+        return l;
+    };
+    constexpr const char* kNever = "launch: was never given to this node";
+    switch (m.of_case()) {
+        case v1::FromNode::kHello:
+            return refuse("a second hello");
+        case v1::FromNode::kHolding: {
+            if (link.state() != link::State::greeting) return refuse("a second greeting");
+            std::vector<std::uint64_t> holds;
+            for (const v1::Held& h : m.holding().held()) holds.push_back(h.launch());
+            if (link.incarnation() && link.incarnation() != incarnation_)
+                edge.ledger_.started_anew(now, node);
+            edge.ledger_.said(now, node, m.holding().draining());
+            link.greeted(now, incarnation_, holds, m.holding().remembers());
+            for (const v1::Held& h : m.holding().held()) {
+                ledger::Launch* l = launch(h.launch());
+                if (!l) continue;  // of long ago, or another node's: it is the node's to clear up
+                if (h.accepted()) edge.node_accepted(*l);
+                if (h.running()) edge.node_runs(*l);
+            }
+            if (m.holding().draining()) edge.node_drains(*this);
+            edge.log_(Level::debug, "node_up", {{"node", node.name}, {"holds", holds.size()}});
+            edge.touch();
+            return true;
+        }
+        case v1::FromNode::kReceived:
+            link.received(now, m.received().launches());
+            return true;
+        case v1::FromNode::kAccepted:
+            if (ledger::Launch* l = launch(m.accepted().launch())) edge.node_accepted(*l);
+            return !never || refuse(kNever);
+        case v1::FromNode::kRunning:
+            if (ledger::Launch* l = launch(m.running().launch())) edge.node_runs(*l);
+            return !never || refuse(kNever);
+        case v1::FromNode::kEnded:
+            if (ledger::Launch* l = launch(m.ended().launch())) edge.node_ended(*l, m.ended());
+            return !never || refuse(kNever);
+        case v1::FromNode::kNote:
+            if (ledger::Launch* l = launch(m.note().launch())) edge.node_note(*l, m.note());
+            return !never || refuse(kNever);
+        case v1::FromNode::kProbeReply:
+            if (m.probe_reply().probe() == 0) return true;
+            edge.planning_->heard(now, number, report_of(m.probe_reply().report()));
+            edge.touch();
+            return true;
+        case v1::FromNode::kDraining:
+            edge.node_drains(*this);
+            return true;
+        case v1::FromNode::kError:
+            edge.log_(Level::warning, "node_says", {{"node", node.name}, {"error", m.error().text()}});
+            return true;
+        case v1::FromNode::OF_NOT_SET:
+            return true;
+    }
+    return true;
+}
+
+}  // namespace whinpost::edge
--- /dev/null
+++ b/src/edge/owner_door.cpp
@@ -0,0 +1,165 @@
+#include <algorithm>
+
+#include "edge/held.h"
+
+namespace whinpost::edge {
+
+namespace {
+using log::Level;
+
+// An owner that reads slowly is read from no more once this much waits for it: its own answers hold up its
+// own asks.
+constexpr std::size_t kPauseAt = 256 << 10;
+// Over this much it is let go. Answers are small: so many can't wait for an owner within its limit of waiting
+// containers unless it has not read for very long.
+constexpr std::size_t kCutAt = 4 << 20;
+constexpr std::size_t kLongestMessage = 64 << 10;  // an offer is some hundred bytes
+}  // namespace
+
+OwnerDoor::OwnerDoor(Edge& e, std::unique_ptr<net::Listener> l)
+    : edge_(e), listener_(std::move(l)), sweep_(e.loop_.timer([this] { left_.clear(); })) {}
+
+void OwnerDoor::accept(std::unique_ptr<net::Stream> s) {
+    if (static_cast<std::int64_t>(sessions_.size()) >= edge_.intake_.limits().owners) {
+        Sender<v1::ToOwner> sender;
+        v1::ToOwner m;
+        m.mutable_error()->set_text("intake.owners: as many owners are connected as are allowed");
+        sender.send(s.get(), m);
+        ++edge_.counts_.turned_away;
+        return;
+    }
+    net::Stream& stream = *s;
+    sessions_.push_back(std::make_unique<OwnerSession>(*this, std::move(s)));
+    edge_.loop_.use(stream, *sessions_.back());
+}
+
+void OwnerDoor::leave(OwnerSession& s) {
+    const auto it =
+        std::find_if(sessions_.begin(), sessions_.end(), [&s](const auto& p) { return p.get() == &s; });
+    if (it == sessions_.end()) return;
+    if (s.share) edge_.owner_left(s);
+    s.share.reset();
+    left_.push_back(std::move(*it));
+    sessions_.erase(it);
+    sweep_->arm(edge_.loop_.now());
+}
+
+bool OwnerDoor::flushed() const {
+    for (const auto& s : sessions_)
+        if (s->stream_ && s->stream_->unsent()) return false;
+    return true;
+}
+
+OwnerSession::OwnerSession(OwnerDoor& d, std::unique_ptr<net::Stream> s) : door_(d), stream_(std::move(s)) {}
+
+void OwnerSession::send(const v1::ToOwner& m) {
+    if (!stream_ || leaving_) return;
+    sender_.send(stream_.get(), m);
+    const std::size_t waits = stream_->unsent();
+    if (waits > kCutAt) {
+        leaving_ = true;
+        ++door_.edge_.counts_.owners_cut;
+        door_.edge_.log_(Level::warning, "owner_cut",
+                         {{"owner", name_}, {"reason", "reads too slowly"}, {"bytes", waits}});
+        door_.edge_.later([this] {
+            stream_->abort();
+            door_.leave(*this);
+        });
+    } else if (waits > kPauseAt && !paused_) {
+        paused_ = true;
+        stream_->read(false);
+    }
+}
+
+void OwnerSession::drained() {
+    if (!paused_ || leaving_) return;
+    paused_ = false;
+    stream_->read(true);
+}
+
+bool OwnerSession::refuse(const std::string& why) {
+    ++door_.edge_.counts_.bad_peers;
+    door_.edge_.log_(Level::warning, "bad_owner",
+                     {{"owner", name_.empty() ? "?" : name_}, {"peer", stream_->peer()}, {"reason", why}});
+    v1::ToOwner m;
+    m.mutable_error()->set_text(why);
+    send(m);
+    leaving_ = true;
+    // The error may still lie here: it goes out before the stream is closed, unless the peer does not read at
+    // all.
+    door_.edge_.later([this] { door_.leave(*this); });
+    return false;
+}
+
+std::size_t OwnerSession::received(std::string_view in) {
+    if (leaving_) return in.size();
+    bool too_long = false;
+    const std::size_t done =
+        net::frames(in, kLongestMessage, too_long, [this](std::string_view f) { return message(f); });
+    if (too_long) refuse("a message is longer than " + std::to_string(kLongestMessage) + " bytes");
+    return leaving_ ? in.size() : done;
+}
+
+void OwnerSession::closed(net::Closed) {
+    if (leaving_) return;
+    leaving_ = true;
+    door_.leave(*this);
+}
+
+bool OwnerSession::message(std::string_view bytes) {
+    Edge& edge = door_.edge_;
+    v1::FromOwner m;
+    if (!m.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return refuse("not a message of this protocol");
+    if (!greeted_) {
+        if (m.of_case() != v1::FromOwner::kHello) return refuse("the first message must be a hello");
+        if (m.hello().version() != kVersion)
+            return refuse("version " + std::to_string(m.hello().version()) + " is not spoken here, only " +
+                          std::to_string(kVersion));
+        if (m.hello().name().empty() || m.hello().name().size() > 256)
+            return refuse("hello.name: must have 1 to 256 bytes");
+        greeted_ = true;
+        name_ = m.hello().name();
+        share.emplace(edge.intake_);
+        v1::ToOwner back;
+        back.mutable_hello()->set_version(kVersion);
+        back.mutable_hello()->set_name(edge.identity_.name);
+        back.mutable_hello()->set_incarnation(edge.identity_.incarnation);
+        send(back);
+        edge.log_(Level::info, "owner", {{"owner", name_}, {"peer", stream_->peer()}});
+        return true;
+    }
+    switch (m.of_case()) {
+        case v1::FromOwner::kHello:
+            return refuse("a second hello");
+        case v1::FromOwner::kOffer: {
+            const std::string wrong = wrong_with(m.offer(), edge.group_names_);
+            if (!wrong.empty()) return refuse(wrong);
+            if (open.contains(m.offer().id())) return refuse("offer.id: is in use on this session");
+            edge.offer(*this, m.offer());
+            return !leaving_;
+        }
+        case v1::FromOwner::kHandOver: {
+            const std::string wrong = wrong_with(m.hand_over().offer(), edge.group_names_);
+            if (!wrong.empty()) return refuse("hand_over." + wrong);
+            if (open.contains(m.hand_over().offer().id()))
+                return refuse("hand_over.offer.id: is in use on this session");
+            edge.hand_over(*this, m.hand_over());
+            return !leaving_;
+        }
+        case v1::FromOwner::kWithdraw: {
+            // One that has just ended may be named still: the two crossed.
+            const auto it = open.find(m.withdraw().id());
+            if (it != open.end()) edge.withdraw(*it->second);
+            return !leaving_;
+        }
+        case v1::FromOwner::kError:
+            edge.log_(Level::warning, "owner_says", {{"owner", name_}, {"error", m.error().text()}});
+            return true;
+        case v1::FromOwner::OF_NOT_SET:
+            return true;  // something newer: passed over
+    }
+    return true;
+}
+
+}  // namespace whinpost::edge
--- /dev/null
+++ b/src/intake/intake.h
@@ -0,0 +1,75 @@
+// What is taken from owners and what is turned away at the door, with the name of the limit: containers
+// waiting in all, of one owner and of one queue group, and containers a second. One owner's flood leaves the
+// others their share, and the flood of one queue group leaves the others theirs. A container that is turned
+// away was never taken: nothing of it has run, so its owner hears a deferral at once. No I/O, no clock.
+#pragma once
+#include <deque>
+#include <memory>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "intake/shares.h"
+#include "whinpost/placer.h"
+
+namespace whinpost::intake {
+
+struct Limits {
+    std::int64_t waiting = 20'000;  // taken and without an answer, in all
+    std::int64_t waiting_an_owner = 5'000;
+    std::int64_t a_second = 20'000;  // taken, in any second
+    std::int64_t owners = 1'000;     // connections
+};
+
+enum class Limit { none, waiting, owner_waiting, group_waiting, rate, owner_rate, closing };
+// The name that the owner is told and the log shows.
+std::string_view name(Limit);
+
+class Intake;
+
+// One owner's part. Made on its connection, destroyed with it; what still waits then counts on for its
+// group alone (answered() with no owner).
+class Owner {
+public:
+    explicit Owner(Intake&);
+    ~Owner();
+    std::int64_t waiting() const { return waiting_.held(); }
+
+private:
+    friend class Intake;
+    Intake& intake_;
+    Member waiting_, taken_;
+    std::deque<std::pair<std::int64_t, std::int64_t>>
+        lately_;  // a tenth of a second, and how many were taken in it
+};
+
+class Intake {
+public:
+    Intake(Limits, std::size_t groups);
+
+    Limit take(Nanos now, Owner&, int group);  // none: taken, and counted as waiting
+    void answered(Owner*, int group);          // null: the owner has left
+    void close() { closed_ = true; }           // from here on nothing is taken
+
+    std::int64_t waiting() const { return groups_waiting_.held(); }
+    std::int64_t turned_away(Limit l) const { return turned_away_[static_cast<std::size_t>(l)]; }
+    const Limits& limits() const { return limits_; }
+
+private:
+    friend class Owner;
+    Limit judge(Nanos now, Owner&, int group);
+    void pass(Nanos now);
+
+    Limits limits_;
+    // Each of the three keeps a share of a half for those that come later: with fewer the flood would shut
+    // them out, with more what stands idle could not be lent.
+    static constexpr double kGuaranteed = 0.5;
+    Shares owners_waiting_, groups_waiting_, owners_rate_;
+    std::vector<std::unique_ptr<Member>> groups_;
+    std::vector<Owner*> owners_;
+    std::int64_t bucket_ = 0;
+    std::vector<std::int64_t> turned_away_;
+    bool closed_ = false;
+};
+
+}  // namespace whinpost::intake
--- /dev/null
+++ b/src/intake/shares.cpp
@@ -0,0 +1,44 @@
+#include "intake/shares.h"
+
+namespace whinpost::intake {
+
+Member::Member(Shares& shares) : shares_(shares), at_(shares.members_.size()) {
+    shares_.members_.push_back(this);
+    shares_.recount();
+}
+
+Member::~Member() {
+    shares_.held_ -= held_;
+    shares_.members_[at_] = shares_.members_.back();
+    shares_.members_[at_]->at_ = at_;
+    shares_.members_.pop_back();
+    shares_.recount();
+}
+
+bool Member::fits() const {
+    if (held_ < shares_.guaranteed_) return true;
+    return shares_.held_ + shares_.reserved_ < shares_.capacity_;
+}
+
+void Member::add() {
+    if (held_ < shares_.guaranteed_) --shares_.reserved_;
+    ++held_;
+    ++shares_.held_;
+}
+
+void Member::remove(std::int64_t count) {
+    shares_.reserved_ -= shares_.unused(*this);
+    held_ -= count;
+    shares_.held_ -= count;
+    shares_.reserved_ += shares_.unused(*this);
+}
+
+void Shares::recount() {
+    guaranteed_ = members_.empty() ? 0
+                                   : static_cast<std::int64_t>(part_ * static_cast<double>(capacity_)) /
+                                         static_cast<std::int64_t>(members_.size());
+    reserved_ = 0;
+    for (const Member* m : members_) reserved_ += unused(*m);
+}
+
+}  // namespace whinpost::intake
--- /dev/null
+++ b/src/intake/shares.h
@@ -0,0 +1,54 @@
+// A capacity shared by members without waste: what a member has not used of its guaranteed part stays free
+// for it, all else goes to whoever comes first. With g guaranteed to each of n members (n * g at most the
+// capacity), a flood from one leaves every other its g at any moment. No I/O.
+#pragma once
+#include <cstdint>
+#include <vector>
+
+namespace whinpost::intake {
+
+class Shares;
+
+// One that shares. Joins when made, leaves when destroyed; what it held goes with it.
+class Member {
+public:
+    explicit Member(Shares&);
+    ~Member();
+    Member(const Member&) = delete;
+    Member& operator=(const Member&) = delete;
+
+    bool fits() const;  // one more
+    void add();
+    void remove(std::int64_t count = 1);
+    std::int64_t held() const { return held_; }
+
+private:
+    friend class Shares;
+    Shares& shares_;
+    std::int64_t held_ = 0;
+    std::size_t at_ = 0;
+};
+
+class Shares {
+public:
+    // `part` of the capacity, in [0, 1], is guaranteed in equal parts; the rest is first come, first served.
+    Shares(std::int64_t capacity, double part) : capacity_(capacity), part_(part) {}
+
+    std::int64_t held() const { return held_; }
+    std::int64_t capacity() const { return capacity_; }
+    std::int64_t guaranteed() const { return guaranteed_; }  // to each member
+    std::size_t members() const { return members_.size(); }
+
+private:
+    friend class Member;
+    std::int64_t unused(const Member& m) const { return m.held_ < guaranteed_ ? guaranteed_ - m.held_ : 0; }
+    // Members come and go by the connection, asks by the thousand: the walk is made where it is rare.
+    void recount();
+
+    std::int64_t capacity_;
+    double part_;
+    std::int64_t held_ = 0, guaranteed_ = 0, reserved_ = 0;
+    std::vector<Member*> members_;
+};
+
+}  // namespace whinpost::intake
--- /dev/null
+++ b/src/link/link.cpp
@@ -0,0 +1,350 @@
+#include "link/link.h"
+
+#include <algorithm>
+
+namespace whinpost::link {
+
+std::string_view words(State s) {
+    switch (s) {
+        case State::idle:
+            return "idle";
+        case State::waiting:
+            return "waiting";
+        case State::dialling:
+            return "dialling";
+        case State::greeting:
+            return "greeting";
+        case State::up:
+            return "up";
+    }
+    return "unknown";
+}
+
+namespace {
+// Launches are handed to the stream only while it holds fewer bytes than this unsent; the others stay where
+// they can be taken back when a drain is heard. A few dozen launches: enough to fill a segment or two in one
+// write.
+constexpr std::size_t kHandOver = 4 << 10;
+// Part of the drain grace that is left unused: a cut takes effect at once on this side, and the node's own
+// clock for it starts when the last byte arrives.
+constexpr Nanos kGraceKept = 4;
+}  // namespace
+
+// ---------------------------------------------------------------- the dialler
+
+bool Dialler::may(Nanos now, Link& l) {
+    while (!lately_.empty() && now - lately_.front() >= kSecond) lately_.pop_front();
+    const bool first = line_.empty() || line_.front() == &l;
+    if (first && dialling_ < at_once_ && static_cast<int>(lately_.size()) < a_second_) {
+        if (!line_.empty()) line_.pop_front();
+        ++dialling_;
+        lately_.push_back(now);
+        return true;
+    }
+    if (std::find(line_.begin(), line_.end(), &l) == line_.end()) line_.push_back(&l);
+    return false;
+}
+
+void Dialler::done(Link&) {
+    --dialling_;
+    if (!line_.empty()) line_.front()->wire_.wake(*line_.front(), 0);
+}
+
+void Dialler::leave(Link& l) {
+    const bool first = !line_.empty() && line_.front() == &l;
+    std::erase(line_, &l);
+    if (first && !line_.empty()) line_.front()->wire_.wake(*line_.front(), 0);
+}
+
+Nanos Dialler::next(Nanos now) const {
+    if (dialling_ >= at_once_) return 0;
+    return static_cast<int>(lately_.size()) < a_second_ ? now : lately_.front() + kSecond;
+}
+
+// ---------------------------------------------------------------- the link
+
+Link::Link(Wire& wire, Dialler& dialler, ledger::Node& node, Terms terms, std::uint64_t seed)
+    : wire_(wire), dialler_(dialler), node_(node), terms_(terms),
+      chance_(static_cast<std::ranlux24_base::result_type>(seed ^ (seed >> 24) ^ (seed >> 48))) {}
+
+Link::~Link() {
+    if (state_ == State::dialling) dialler_.done(*this);
+    dialler_.leave(*this);
+}
+
+void Link::want(Nanos now, bool on) {
+    wanted_ = on;
+    if (on && state_ == State::idle) {
+        state_ = State::waiting;
+        state_since_ = now;
+        dial_at_ = now;
+        try_dial(now);
+    }
+    if (!on && out_.empty() && queue_.empty() && state_ != State::idle) {
+        if (state_ == State::dialling) dialler_.done(*this);
+        else if (state_ == State::waiting) dialler_.leave(*this);
+        if (state_ != State::waiting) wire_.drop(*this, false);
+        state_ = State::idle;
+    }
+    plan(now);
+}
+
+void Link::try_dial(Nanos now) {
+    if (now < dial_at_) return;
+    if (!dialler_.may(now, *this)) return;
+    state_ = State::dialling;
+    state_since_ = now;
+    ++counts_.dials;
+    wire_.dial(*this);
+}
+
+// A launch for a node that can't be reached is told so at once: the planner knows better where else it could
+// go than a queue does. While a first connection is being made it waits for that, within its own time.
+void Link::offer(Nanos now, ledger::Launch& l) {
+    if (state_ == State::idle) want(now, true);
+    const bool failing = state_ == State::waiting && pause_ > 0;
+    if (failing) {
+        wire_.over(now, l, Ending::unconnected);
+        return;
+    }
+    queue_.push_back(&l);
+    if (state_ == State::up) pump(now);
+    plan(now);
+}
+
+void Link::pump(Nanos now) {
+    if (state_ != State::up) return;
+    while (!queue_.empty() && wire_.unsent(*this) < kHandOver) {
+        ledger::Launch& l = *queue_.front();
+        queue_.pop_front();
+        if (!wire_.may_still_send(now, l)) {
+            ++counts_.proven_unsent;
+            wire_.over(now, l, Ending::unsent);
+            continue;
+        }
+        out_[l.number] = &l;
+        wire_.write(*this, l);
+        unreceived_.push_back({&l, wire_.written(*this)});
+    }
+}
+
+bool Link::take_back(ledger::Launch& l) {
+    const auto it = std::find(queue_.begin(), queue_.end(), &l);
+    if (it == queue_.end()) return false;
+    queue_.erase(it);
+    return true;
+}
+
+void Link::forget(ledger::Launch& l) {
+    out_.erase(l.number);
+    std::erase(queue_, &l);
+    for (Written& w : unreceived_)
+        if (w.launch == &l) w.launch = nullptr;
+}
+
+void Link::adopt(ledger::Launch& l) {
+    out_[l.number] = &l;
+    if (state_ == State::up) wire_.ask_after(*this, l);
+}
+
+void Link::connected(Nanos now) {
+    if (state_ != State::dialling) return;
+    dialler_.done(*this);
+    state_ = State::greeting;
+    state_since_ = heard_at_ = now;
+    asked_at_ = 0;
+    received_ = 0;
+    unreceived_.clear();
+    plan(now);
+}
+
+void Link::pause(Nanos now) {
+    pause_ = pause_ ? std::min(terms_.longest_pause, 2 * pause_) : terms_.first_pause;
+    // Between a half and the whole of it: placers that lost a zone in one moment come back spread out.
+    dial_at_ =
+        now + pause_ / 2 + static_cast<Nanos>(static_cast<double>(pause_) * 0.5 * (chance_() % 1024) / 1024);
+    state_ = State::waiting;
+    state_since_ = now;
+    if (!wanted_ && out_.empty()) state_ = State::idle;
+}
+
+void Link::empty_queue(Nanos now, Ending how) {
+    std::deque<ledger::Launch*> left;
+    left.swap(queue_);
+    for (ledger::Launch* l : left) wire_.over(now, *l, how);
+}
+
+void Link::dial_failed(Nanos now) {
+    if (state_ != State::dialling) return;
+    dialler_.done(*this);
+    ++counts_.failed_dials;
+    if (!wanted_) lose_all(now);  // gone by the list, and it can't be reached to say otherwise
+    pause(now);
+    empty_queue(now, Ending::unconnected);
+    plan(now);
+}
+
+// What was handed over only in part can't have been acted on. What was handed over whole stays in doubt.
+void Link::broken(Nanos now, std::uint64_t handed) {
+    if (state_ != State::greeting && state_ != State::up) return;
+    ++counts_.breaks;
+    if (state_ == State::up) broken_at_ = now;
+    // A node that closes in the greeting is not well either: the pause goes on growing. One that was up is
+    // tried soon.
+    if (state_ == State::up) pause_ = 0;
+    std::deque<Written> written;
+    written.swap(unreceived_);
+    cut_at_ = 0;
+    pause(now);
+    for (const Written& w : written) {
+        if (!w.launch || w.launch->over) continue;
+        if (w.end <= handed) {
+            ++counts_.in_doubt;
+            continue;
+        }
+        ledger::Launch& l = *w.launch;
+        out_.erase(l.number);
+        ++counts_.proven_unsent;
+        wire_.over(now, l, Ending::unsent);
+    }
+    empty_queue(now, Ending::unsent);
+    plan(now);
+}
+
+void Link::heard(Nanos now) {
+    heard_at_ = now;
+    asked_at_ = 0;
+}
+
+void Link::received(Nanos now, std::uint64_t launches) {
+    while (received_ < launches && !unreceived_.empty()) {
+        unreceived_.pop_front();
+        ++received_;
+    }
+    if (unreceived_.empty()) cut_at_ = 0;
+    pump(now);
+}
+
+void Link::lose_all(Nanos now) {
+    std::map<std::uint64_t, ledger::Launch*> lost;
+    lost.swap(out_);
+    for (auto& [number, l] : lost) wire_.over(now, *l, Ending::reset);
+}
+
+void Link::greeted(Nanos now, std::uint64_t incarnation, const std::vector<std::uint64_t>& holds,
+                   Nanos remembers) {
+    if (state_ != State::greeting) return;
+    const bool same = incarnation == incarnation_;
+    const bool first = incarnation_ == 0;
+    incarnation_ = incarnation;
+    state_ = State::up;
+    state_since_ = now;
+    pause_ = 0;
+    if (!same && !first) {
+        // The one that held them is no more, wherever it stood: the same address and name may well be another
+        // machine.
+        lose_all(now);
+    } else {
+        // One that was written to it and is not held was never taken, if the node would still remember its
+        // end. One that was taken over may stand there under another placer's name for it.
+        std::vector<ledger::Launch*> unnamed;
+        for (auto& [number, l] : out_)
+            if (std::find(holds.begin(), holds.end(), number) == holds.end()) unnamed.push_back(l);
+        const bool certain = same && broken_at_ && now - broken_at_ < remembers;
+        for (ledger::Launch* l : unnamed) {
+            if (l->taken_over) {
+                wire_.ask_after(*this, *l);
+                continue;
+            }
+            out_.erase(l->number);
+            ++counts_.cleared_up;
+            wire_.over(now, *l, certain && !l->accepted ? Ending::unsent : Ending::reset);
+        }
+    }
+    pump(now);
+    plan(now);
+}
+
+// Launches that wait here are taken back at once. Those that the node has not said it received may lie in any
+// buffer on the way: if it has not before the grace is up, the connection is cut so that they never arrive.
+void Link::drain_heard(Nanos now) {
+    empty_queue(now, Ending::unsent);
+    if (state_ == State::up && !unreceived_.empty() && !cut_at_)
+        cut_at_ = now + terms_.drain_grace - terms_.drain_grace / kGraceKept;
+    plan(now);
+}
+
+void Link::gone(Nanos now) {
+    empty_queue(now, Ending::unsent);
+    want(now, false);
+    if (state_ != State::up) lose_all(now);
+    want(now, false);
+}
+
+void Link::tick(Nanos now) {
+    switch (state_) {
+        case State::idle:
+            break;
+        case State::waiting:
+            try_dial(now);
+            break;
+        case State::dialling:
+            if (now - state_since_ >= terms_.dial_time_out) {
+                wire_.drop(*this, true);
+                dial_failed(now);
+            }
+            break;
+        case State::greeting:
+            // Accepted by the kernel and never greeted: nothing was handed over, so all that waits is proven
+            // unsent.
+            if (now - state_since_ >= terms_.greet_time_out) {
+                wire_.drop(*this, true);
+                ++counts_.failed_dials;
+                broken(now, 0);
+            }
+            break;
+        case State::up:
+            if (cut_at_ && now >= cut_at_) {
+                ++counts_.drain_cuts;
+                const std::uint64_t handed = wire_.handed(*this);
+                wire_.drop(*this, true);
+                broken(now, handed);
+            } else if (now - heard_at_ >= 2 * terms_.silent_after) {
+                ++counts_.silent_cuts;
+                const std::uint64_t handed = wire_.handed(*this);
+                wire_.drop(*this, true);
+                broken(now, handed);
+            } else if (now - heard_at_ >= terms_.silent_after && !asked_at_) {
+                asked_at_ = now;
+                wire_.ask_for_life(*this);
+            }
+            break;
+    }
+    plan(now);
+}
+
+void Link::plan(Nanos now) {
+    switch (state_) {
+        case State::idle:
+            return;
+        case State::waiting: {
+            const Nanos leave = dialler_.next(now);
+            wire_.wake(*this, std::max(dial_at_, leave ? leave : now + terms_.dial_time_out));
+            return;
+        }
+        case State::dialling:
+            wire_.wake(*this, state_since_ + terms_.dial_time_out);
+            return;
+        case State::greeting:
+            wire_.wake(*this, state_since_ + terms_.greet_time_out);
+            return;
+        case State::up: {
+            Nanos at = heard_at_ + (asked_at_ ? 2 : 1) * terms_.silent_after;
+            if (cut_at_) at = std::min(at, cut_at_);
+            wire_.wake(*this, at);
+            return;
+        }
+    }
+}
+
+}  // namespace whinpost::link
--- /dev/null
+++ b/src/link/link.h
@@ -0,0 +1,155 @@
+// One node's connection as a state machine, and what a broken connection proves of the launches that were on
+// it. No I/O, no clock: the edge tells it what happens on the stream and does what it asks for through Wire.
+//
+// What is proven, and by what:
+//   unsent       the last byte of the launch was never in the kernel's hands (a node acts on whole messages
+//   only), or the
+//                node, greeting the same incarnation again, names what it holds and has ended, and this is
+//                not among it
+//   unconnected  there was no connection to hand it to
+//   nothing      else: it is in doubt until the node greets again, its time runs out, or the node is gone
+#pragma once
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "ledger/ledger.h"
+#include "whinpost/placer.h"
+
+namespace whinpost::link {
+
+enum class State {
+    idle,      // not wanted
+    waiting,   // for the dialler's leave, or for the end of a pause after a failure
+    dialling,  // a connection is being made
+    greeting,  // it is up, the node has not said yet who it is and what it holds
+    up,
+};
+std::string_view words(State);
+
+struct Terms {
+    Nanos dial_time_out = 1 * kSecond;
+    Nanos greet_time_out = 2 * kSecond;
+    Nanos silent_after = 3 * kSecond;  // nothing heard for so long: asked for a sign of life; twice that: cut
+    Nanos first_pause = 100 * kMillisecond,
+          longest_pause = 5 * kSecond;  // between dials, doubling, with jitter
+    Nanos drain_grace =
+        1 * kSecond;  // after a drain is heard, nothing new may reach the node later than that
+};
+
+class Link;
+
+// Leave to dial: so many connections in the making at once and so many a second, first come first served.
+// After a cut, a hundred nodes are not dialled in one moment, nor by each placer in the same rhythm (the
+// pauses are jittered).
+class Dialler {
+public:
+    Dialler(int at_once, int a_second) : at_once_(at_once), a_second_(a_second) {}
+    bool may(Nanos now, Link&);  // true: it counts as in the making until done(). False: it stands in line
+    void done(Link&);
+    void leave(Link&);  // wants no more
+    // The time at which the first in line may try again; 0: when one is done.
+    Nanos next(Nanos now) const;
+    int dialling() const { return dialling_; }
+
+private:
+    int at_once_, a_second_, dialling_ = 0;
+    std::deque<Link*> line_;
+    std::deque<Nanos> lately_;
+};
+
+// What a link asks of the edge.
+class Wire {
+public:
+    virtual ~Wire() = default;
+    virtual void dial(Link&) = 0;
+    virtual void drop(Link&, bool at_once) = 0;  // at once: what the node has not received never reaches it
+    virtual void write(Link&, ledger::Launch&) = 0;
+    virtual void ask_for_life(Link&) = 0;
+    virtual void ask_after(Link&, ledger::Launch&) = 0;  // taken over: does the node hold its container?
+    virtual std::size_t unsent(const Link&) const = 0;
+    virtual std::uint64_t handed(const Link&) const = 0;   // of the present connection
+    virtual std::uint64_t written(const Link&) const = 0;  // the same, with what is unsent
+    virtual bool may_still_send(Nanos now, const ledger::Launch&) const = 0;
+    virtual void over(Nanos now, ledger::Launch&, Ending) = 0;  // proven, or lost with the node
+    virtual void wake(Link&, Nanos at) = 0;  // call tick() then; the latest asked for counts
+};
+
+struct Counts {
+    std::uint64_t dials = 0, failed_dials = 0, breaks = 0, silent_cuts = 0, drain_cuts = 0, proven_unsent = 0,
+                  in_doubt = 0, cleared_up = 0;
+};
+
+class Link {
+public:
+    Link(Wire&, Dialler&, ledger::Node&, Terms, std::uint64_t seed);
+    ~Link();
+    Link(const Link&) = delete;
+    Link& operator=(const Link&) = delete;
+
+    // ---- what the edge wants
+    void want(Nanos now, bool);  // connected, as long as the node is in the list or holds anything
+    void offer(Nanos now, ledger::Launch&);  // may be told over (unconnected) before it returns
+    bool take_back(ledger::Launch&);         // true: it was still here, nothing of it has been written
+    void forget(ledger::Launch&);            // it is over, by whatever way
+    void adopt(ledger::Launch&);  // taken over: the node is asked after it, now or at its next greeting
+
+    // ---- what happens on the stream
+    void connected(Nanos now);
+    void dial_failed(Nanos now);
+    void broken(Nanos now, std::uint64_t handed);
+    void heard(Nanos now);  // anything at all
+    void received(Nanos now, std::uint64_t launches);
+    void drained(Nanos now) { pump(now); }  // the stream has handed over all it had
+    // The node's greeting is whole: its incarnation, and the launches of this placer that it holds.
+    // `remembers` is how long it keeps the ends that it could not tell; it has told them all before.
+    void greeted(Nanos now, std::uint64_t incarnation, const std::vector<std::uint64_t>& holds,
+                 Nanos remembers);
+
+    // ---- what is heard of the node
+    void drain_heard(Nanos now);
+    void gone(Nanos now);  // the list names it no longer: what it held is lost
+
+    void tick(Nanos now);
+
+    State state() const { return state_; }
+    ledger::Node& node() const { return node_; }
+    const Counts& counts() const { return counts_; }
+    std::size_t out() const { return out_.size(); }
+    std::size_t queued() const { return queue_.size(); }
+    std::uint64_t incarnation() const { return incarnation_; }
+    void* tag = nullptr;  // the door's own
+
+private:
+    friend class Dialler;
+    struct Written {
+        ledger::Launch* launch;  // null: over
+        std::uint64_t end;       // offset of the byte after its last
+    };
+    void try_dial(Nanos now);
+    void pump(Nanos now);
+    void pause(Nanos now);
+    void lose_all(Nanos now);
+    void empty_queue(Nanos now, Ending);
+    void plan(Nanos now);
+
+    Wire& wire_;
+    Dialler& dialler_;
+    ledger::Node& node_;
+    Terms terms_;
+    std::ranlux24_base chance_;
+    State state_ = State::idle;
+    bool wanted_ = false;
+    std::deque<ledger::Launch*> queue_;             // not written yet: can be taken back
+    std::deque<Written> unreceived_;                // on the present connection, in their order
+    std::map<std::uint64_t, ledger::Launch*> out_;  // written on any connection, or adopted, and not over
+    std::uint64_t incarnation_ = 0, received_ = 0;
+    Nanos state_since_ = 0, heard_at_ = 0, asked_at_ = 0, broken_at_ = 0, dial_at_ = 0, pause_ = 0,
+          cut_at_ = 0;
+    Counts counts_;
+};
+
+}  // namespace whinpost::link
--- /dev/null
+++ b/src/net/event_loop.cpp
@@ -0,0 +1,334 @@
+#include "net/event_loop.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <time.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <csignal>
+#include <cstdio>
+#include <cstring>
+#include <stdexcept>
+
+namespace whinpost::net {
+
+std::string_view words(Closed c) {
+    switch (c) {
+        case Closed::by_peer:
+            return "closed by the peer";
+        case Closed::reset:
+            return "broken off";
+        case Closed::refused:
+            return "not connected";
+        case Closed::out_of_files:
+            return "no file descriptor left";
+    }
+    return "unknown";
+}
+
+namespace {
+
+Nanos clock(clockid_t which) {
+    timespec t{};
+    clock_gettime(which, &t);
+    return static_cast<Nanos>(t.tv_sec) * kSecond + t.tv_nsec;
+}
+
+timeval span(Nanos d) {
+    d = std::max<Nanos>(d, 0) + kMicrosecond - 1;
+    return {static_cast<time_t>(d / kSecond), static_cast<suseconds_t>(d % kSecond / kMicrosecond)};
+}
+
+// How much is read from one stream in one pass: a flood on one does not keep the others waiting.
+constexpr std::size_t kReadAtOnce = 64 << 10;
+
+// host:port or [host]:port; libevent's own parser knows no port 0.
+bool parse(const std::string& address, sockaddr_storage& out, int& length) {
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string::npos || colon + 1 >= address.size() || address.size() - colon > 6) return false;
+    int port = 0;
+    for (std::size_t i = colon + 1; i < address.size(); ++i) {
+        if (address[i] < '0' || address[i] > '9') return false;
+        port = port * 10 + (address[i] - '0');
+    }
+    if (port > 65'535) return false;
+    std::string host = address.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+        auto* in = reinterpret_cast<sockaddr_in6*>(&out);
+        in->sin6_family = AF_INET6;
+        in->sin6_port = htons(static_cast<std::uint16_t>(port));
+        length = sizeof *in;
+        return inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(), &in->sin6_addr) == 1;
+    }
+    auto* in = reinterpret_cast<sockaddr_in*>(&out);
+    in->sin_family = AF_INET;
+    in->sin_port = htons(static_cast<std::uint16_t>(port));
+    length = sizeof *in;
+    return inet_pton(AF_INET, host.c_str(), &in->sin_addr) == 1;
+}
+
+std::string text(const sockaddr* a) {
+    char host[INET6_ADDRSTRLEN] = "?", out[INET6_ADDRSTRLEN + 10];
+    if (a->sa_family == AF_INET6) {
+        const auto* in = reinterpret_cast<const sockaddr_in6*>(a);
+        inet_ntop(AF_INET6, &in->sin6_addr, host, sizeof host);
+        std::snprintf(out, sizeof out, "[%s]:%d", host, ntohs(in->sin6_port));
+        return out;
+    }
+    const auto* in = reinterpret_cast<const sockaddr_in*>(a);
+    inet_ntop(AF_INET, &in->sin_addr, host, sizeof host);
+    std::snprintf(out, sizeof out, "%s:%d", host, ntohs(in->sin_port));
+    return out;
+}
+
+class EventStream final : public Stream {
+public:
+    EventStream(event_base* base, evutil_socket_t fd)
+        : bev_(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE)) {
+        if (!bev_) throw std::runtime_error("no memory for a stream");
+        bufferevent_set_max_single_read(bev_, kReadAtOnce);
+        if (fd >= 0) no_delay();
+    }
+    ~EventStream() override {
+        if (gone_) *gone_ = true;
+        if (late_) event_free(late_);
+        bufferevent_free(bev_);
+    }
+    EventStream(const EventStream&) = delete;
+    EventStream& operator=(const EventStream&) = delete;
+
+    void use(StreamUser& user) {
+        user_ = &user;
+        bufferevent_setcb(bev_, &on_read, &on_write, &on_event, this);
+        bufferevent_setwatermark(bev_, EV_READ, 0, kLongestFrame + 4 + kReadAtOnce);
+        bufferevent_enable(bev_, EV_READ | EV_WRITE);
+    }
+    void dial(event_base* base, const std::string& address) {
+        sockaddr_storage to{};
+        int length = 0;
+        dialling_ = true;
+        const bool ok = parse(address, to, length) &&
+                        bufferevent_socket_connect(bev_, reinterpret_cast<sockaddr*>(&to), length) == 0;
+        if (ok) {
+            no_delay();
+            return;
+        }
+        failed_ = errno == EMFILE || errno == ENFILE ? Closed::out_of_files : Closed::refused;
+        late_ = event_new(
+            base, -1, EV_TIMEOUT,
+            [](evutil_socket_t, short, void* self) {
+                auto* s = static_cast<EventStream*>(self);
+                s->user_->closed(s->failed_);
+            },
+            this);
+        const timeval soon{};
+        event_add(late_, &soon);
+    }
+
+    void write(std::string_view bytes) override {
+        written_ += bytes.size();
+        bufferevent_write(bev_, bytes.data(), bytes.size());
+    }
+    std::size_t unsent() const override { return evbuffer_get_length(bufferevent_get_output(bev_)); }
+    std::uint64_t handed() const override { return written_ - unsent(); }
+    void read(bool on) override {
+        if (on) bufferevent_enable(bev_, EV_READ);
+        else bufferevent_disable(bev_, EV_READ);
+    }
+    void abort() override {
+        const evutil_socket_t fd = bufferevent_getfd(bev_);
+        const linger at_once{1, 0};
+        if (fd >= 0) setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+        bufferevent_disable(bev_, EV_READ | EV_WRITE);
+        bufferevent_setfd(bev_, -1);
+        if (fd >= 0) evutil_closesocket(fd);
+    }
+    std::string peer() const override {
+        sockaddr_storage a{};
+        socklen_t length = sizeof a;
+        if (getpeername(bufferevent_getfd(bev_), reinterpret_cast<sockaddr*>(&a), &length) != 0) return "?";
+        return text(reinterpret_cast<sockaddr*>(&a));
+    }
+
+private:
+    void no_delay() {
+        const int on = 1;
+        setsockopt(bufferevent_getfd(bev_), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    }
+    static void on_read(bufferevent* bev, void* self) {
+        auto* s = static_cast<EventStream*>(self);
+        evbuffer* in = bufferevent_get_input(bev);
+        bool gone = false;
+        s->gone_ = &gone;
+        const std::size_t length = evbuffer_get_length(in);
+        const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(in, -1));
+        const std::size_t done = s->user_->received({bytes, length});
+        if (gone) return;
+        s->gone_ = nullptr;
+        evbuffer_drain(in, done);
+    }
+    static void on_write(bufferevent*, void* self) {
+        auto* s = static_cast<EventStream*>(self);
+        if (!s->dialling_) s->user_->drained();
+    }
+    static void on_event(bufferevent*, short what, void* self) {
+        auto* s = static_cast<EventStream*>(self);
+        if (what & BEV_EVENT_CONNECTED) {
+            s->dialling_ = false;
+            s->no_delay();
+            s->user_->connected();
+        } else if (s->dialling_) s->user_->closed(Closed::refused);
+        else if (what & BEV_EVENT_EOF) s->user_->closed(Closed::by_peer);
+        else if (what & (BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) s->user_->closed(Closed::reset);
+    }
+
+    bufferevent* bev_;
+    StreamUser* user_ = nullptr;
+    event* late_ = nullptr;
+    Closed failed_ = Closed::refused;
+    bool* gone_ = nullptr;
+    bool dialling_ = false;
+    std::uint64_t written_ = 0;
+};
+
+class EventListener final : public Listener {
+public:
+    EventListener(event_base* base, std::function<void(std::unique_ptr<Stream>)> then)
+        : base_(base), then_(std::move(then)) {}
+    ~EventListener() override {
+        if (again_) event_free(again_);
+        if (listener_) evconnlistener_free(listener_);
+    }
+    bool open(const std::string& address, std::string& error) {
+        sockaddr_storage at{};
+        int length = 0;
+        if (!parse(address, at, length)) {
+            error = "not an IP address and port";
+            return false;
+        }
+        listener_ =
+            evconnlistener_new_bind(base_, &on_accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 1024,
+                                    reinterpret_cast<sockaddr*>(&at), length);
+        if (!listener_) {
+            error = std::strerror(errno);
+            return false;
+        }
+        again_ = event_new(
+            base_, -1, EV_TIMEOUT,
+            [](evutil_socket_t, short, void* self) {
+                evconnlistener_enable(static_cast<EventListener*>(self)->listener_);
+            },
+            this);
+        evconnlistener_set_error_cb(listener_, [](evconnlistener* l, void* self) {
+            // No file descriptor left, as a rule. Those who ask wait in the kernel's line while a few are
+            // closed: trying at once again would spin.
+            evconnlistener_disable(l);
+            const timeval pause = span(50 * kMillisecond);
+            event_add(static_cast<EventListener*>(self)->again_, &pause);
+        });
+        return true;
+    }
+    std::string address() const override {
+        sockaddr_storage a{};
+        socklen_t length = sizeof a;
+        getsockname(evconnlistener_get_fd(listener_), reinterpret_cast<sockaddr*>(&a), &length);
+        return text(reinterpret_cast<sockaddr*>(&a));
+    }
+
+private:
+    static void on_accept(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
+        auto* l = static_cast<EventListener*>(self);
+        l->then_(std::make_unique<EventStream>(l->base_, fd));
+    }
+    event_base* base_;
+    std::function<void(std::unique_ptr<Stream>)> then_;
+    evconnlistener* listener_ = nullptr;
+    event* again_ = nullptr;
+};
+
+class EventTimer final : public Timer {
+public:
+    EventTimer(EventLoop& loop, std::function<void()> then)
+        : loop_(loop), then_(std::move(then)),
+          event_(event_new(
+              loop.base(), -1, EV_TIMEOUT,
+              [](evutil_socket_t, short, void* self) { static_cast<EventTimer*>(self)->then_(); }, this)) {}
+    ~EventTimer() override { event_free(event_); }
+    void arm(Nanos at) override {
+        const timeval wait = span(at - loop_.now());
+        event_add(event_, &wait);
+    }
+    void disarm() override { event_del(event_); }
+
+private:
+    EventLoop& loop_;
+    std::function<void()> then_;
+    event* event_;
+};
+
+}  // namespace
+
+struct EventLoop::Signal {
+    std::function<void()> then;
+    event* on = nullptr;
+    ~Signal() {
+        if (on) event_free(on);
+    }
+};
+
+EventLoop::EventLoop() : offset_(clock(CLOCK_REALTIME) - clock(CLOCK_MONOTONIC)) {
+    std::signal(SIGPIPE, SIG_IGN);
+    event_config* with = event_config_new();
+    event_config_set_flag(with, EVENT_BASE_FLAG_PRECISE_TIMER);
+    base_ = event_base_new_with_config(with);
+    event_config_free(with);
+    if (!base_) throw std::runtime_error("no event loop can be had from the system");
+}
+EventLoop::~EventLoop() {
+    signals_.clear();
+    event_base_free(base_);
+}
+
+Nanos EventLoop::now() const { return clock(CLOCK_MONOTONIC) + offset_; }
+
+std::unique_ptr<Listener> EventLoop::listen(const std::string& address,
+                                            std::function<void(std::unique_ptr<Stream>)> then,
+                                            std::string& error) {
+    auto l = std::make_unique<EventListener>(base_, std::move(then));
+    if (!l->open(address, error)) return nullptr;
+    return l;
+}
+
+std::unique_ptr<Stream> EventLoop::dial(const std::string& address, StreamUser& user) {
+    auto s = std::make_unique<EventStream>(base_, -1);
+    s->use(user);
+    s->dial(base_, address);
+    return s;
+}
+
+void EventLoop::use(Stream& s, StreamUser& user) { static_cast<EventStream&>(s).use(user); }
+
+std::unique_ptr<Timer> EventLoop::timer(std::function<void()> then) {
+    return std::make_unique<EventTimer>(*this, std::move(then));
+}
+
+void EventLoop::on_signal(int number, std::function<void()> then) {
+    auto s = std::make_unique<Signal>();
+    s->then = std::move(then);
+    s->on = evsignal_new(
+        base_, number, [](evutil_socket_t, short, void* self) { static_cast<Signal*>(self)->then(); },
+        s.get());
+    event_add(s->on, nullptr);
+    signals_.push_back(std::move(s));
+}
+
+void EventLoop::run() { event_base_loop(base_, EVLOOP_NO_EXIT_ON_EMPTY); }
+void EventLoop::stop() { event_base_loopbreak(base_); }
+
+}  // namespace whinpost::net
--- /dev/null
+++ b/src/net/event_loop.h
@@ -0,0 +1,36 @@
+// The loop on real sockets: libevent with bufferevents.
+#pragma once
+#include <vector>
+
+#include "net/net.h"
+
+struct event_base;
+
+namespace whinpost::net {
+
+class EventLoop : public Loop {
+public:
+    EventLoop();
+    ~EventLoop() override;
+    Nanos now() const override;
+    std::unique_ptr<Listener> listen(const std::string& address, std::function<void(std::unique_ptr<Stream>)>,
+                                     std::string& error) override;
+    std::unique_ptr<Stream> dial(const std::string& address, StreamUser&) override;
+    void use(Stream&, StreamUser&) override;
+    std::unique_ptr<Timer> timer(std::function<void()>) override;
+    void stop() override;
+
+    void run();  // until stop()
+    // Calls `then` in the loop for each arrival of the signal.
+    void on_signal(int signal, std::function<void()> then);
+    event_base* base() { return base_; }
+
+private:
+    struct Signal;
+    event_base* base_;
+    Nanos offset_;  // from the monotonic clock to the time of day, taken once: all placers of a fleet cut the
+                    // time into the same turns, and a clock that is set later moves nothing
+    std::vector<std::unique_ptr<Signal>> signals_;
+};
+
+}  // namespace whinpost::net
--- /dev/null
+++ b/src/net/net.h
@@ -0,0 +1,117 @@
+// Time, timers and streams, as edge, planner and stand-ins see them. Two implementations: libevent with real
+// sockets (net/event_loop.h) and a simulated network in virtual time (lab/sim.h). Nothing here knows a
+// message's meaning.
+//
+// One loop is one thread. Calls on its streams and timers are made from its own callbacks only.
+#pragma once
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "whinpost/placer.h"
+
+namespace whinpost::net {
+
+enum class Closed {
+    by_peer,      // its end was read
+    reset,        // broken off
+    refused,      // the connection was never made
+    out_of_files  // nor could it be: this process has no file descriptor left
+};
+std::string_view words(Closed);
+
+// Told what happens on one stream. A stream may be destroyed within any of these calls.
+class StreamUser {
+public:
+    virtual ~StreamUser() = default;
+    virtual void connected() {}  // of a stream that was dialled
+    // Bytes that were read and not consumed yet; gives back how many it has consumed. Called again with the
+    // rest once more has come.
+    virtual std::size_t received(std::string_view) = 0;
+    virtual void drained() {}  // all that was written is in the kernel's hands
+    virtual void closed(Closed) = 0;
+};
+
+// Destroying it closes it, after what the kernel has been handed; what it has not been handed is dropped.
+class Stream {
+public:
+    virtual ~Stream() = default;
+    virtual void write(std::string_view) = 0;
+    virtual std::size_t unsent() const = 0;    // written, and not in the kernel's hands
+    virtual std::uint64_t handed() const = 0;  // bytes in the kernel's hands since the start; grows only
+    virtual void read(bool on) = 0;            // off: nothing is received, the peer meets a full window
+    // Closes so that what the peer has not received yet never reaches it.
+    virtual void abort() = 0;
+    virtual std::string peer() const = 0;
+};
+
+class Listener {
+public:
+    virtual ~Listener() = default;
+    virtual std::string address() const = 0;  // the one really listened on: port 0 asks for any
+};
+
+class Timer {
+public:
+    virtual ~Timer() = default;
+    virtual void arm(Nanos at) = 0;  // again: moved
+    virtual void disarm() = 0;
+};
+
+class Loop {
+public:
+    virtual ~Loop() = default;
+    virtual Nanos now() const = 0;  // of this pass of the loop; never backwards
+    // `address` is host:port, the host an IP address. Null and `error` where it can't be listened on.
+    virtual std::unique_ptr<Listener> listen(const std::string& address,
+                                             std::function<void(std::unique_ptr<Stream>)>,
+                                             std::string& error) = 0;
+    // Never null; a failure is told by closed(), later.
+    virtual std::unique_ptr<Stream> dial(const std::string& address, StreamUser&) = 0;
+    virtual void use(Stream&,
+                     StreamUser&) = 0;  // for one that a listener gave; once, before anything is received
+    virtual std::unique_ptr<Timer> timer(std::function<void()>) = 0;
+    virtual void stop() = 0;  // the loop's run ends after this pass
+};
+
+// ---- frames: four bytes of length, the most significant first, then the message
+
+// Far over any message of the protocols (a list of 10,000 nodes is under 1 MiB), and little enough to buffer.
+constexpr std::size_t kLongestFrame = 4 << 20;
+
+// Hands each whole frame of `in` to `each(std::string_view) -> bool`, until it gives false; gives back how
+// many bytes are done with. `too_long` is set where a length is over `most`, and nothing after it is read.
+template <class F>
+std::size_t frames(std::string_view in, std::size_t most, bool& too_long, F each) {
+    std::size_t at = 0;
+    too_long = false;
+    while (in.size() - at >= 4) {
+        std::size_t length = 0;
+        for (int i = 0; i < 4; ++i)
+            length = length << 8 | static_cast<unsigned char>(in[at + static_cast<std::size_t>(i)]);
+        if (length > most) {
+            too_long = true;
+            return at;
+        }
+        if (in.size() - at - 4 < length) break;
+        const std::string_view frame = in.substr(at + 4, length);
+        at += 4 + length;
+        if (!each(frame)) break;
+    }
+    return at;
+}
+
+// Appends a protobuf message (or anything with its two calls) as one frame.
+template <class Message>
+void append_frame(std::string& out, const Message& m) {
+    const std::size_t size = m.ByteSizeLong();
+    for (int shift = 24; shift >= 0; shift -= 8) out += static_cast<char>(size >> shift & 0xff);
+    const std::size_t at = out.size();
+    out.resize(at + size);
+    m.SerializeWithCachedSizesToArray(reinterpret_cast<std::uint8_t*>(out.data() + at));
+}
+
+}  // namespace whinpost::net
--- /dev/null
+++ b/standin/day.cpp
@@ -0,0 +1,586 @@
+#include "standin/day.h"
+
+#define TOML_EXCEPTIONS 0
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <cmath>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+
+#include "config/placer_file.h"
+#include "planner/planning.h"
+
+namespace whinpost::standin {
+
+// ---------------------------------------------------------------- the script
+
+namespace {
+
+const std::vector<std::string_view> kDo = {
+    "drain",          "kill",         "rejoin",     "silent",      "slow",         "refuse",
+    "fail_starts",    "lose_answers", "late_yes",   "twice",       "reset",        "list_still",
+    "list_backwards", "list_none",    "list_twice", "placer_kill", "placer_stall", "owner_leave",
+    "owner_half",     "owner_deaf",   "burst",      "withdraw"};
+
+bool at_nodes(Do d) { return d <= Do::reset || d == Do::list_twice; }
+bool at_placer(Do d) { return d == Do::placer_kill || d == Do::placer_stall; }
+bool at_owner(Do d) {
+    return d == Do::owner_leave || d == Do::owner_half || d == Do::owner_deaf || d == Do::withdraw;
+}
+
+std::vector<double> amounts(config::Table& t, std::string_view key) {
+    // A list of shapes, as texts of numbers would be odd: read one by one.
+    std::vector<double> out;
+    for (int i = 0; i < 8; ++i) {
+        const std::string at = std::string(key) + (i ? std::to_string(i + 1) : "");
+        if (i && !t.has(at)) break;
+        out.push_back(t.number(at, 0.001, 1e6));
+    }
+    return out;
+}
+
+Plan plan_of(config::Document& file, const std::string& text, std::vector<std::string>& problems) {
+    Plan p;
+    config::Table root = file.root();
+    if (!root.has("day")) root.wrong("day", "is missing: a table with length_s");
+    config::Table day = root.table("day");
+    p.name = day.text("name", "day");
+    p.length = day.span("length_s", kSecond, 24 * 3600 * kSecond, 30 * kSecond);
+    p.seed = static_cast<std::uint64_t>(day.whole("seed", 1, INT64_MAX, 1));
+    p.placers = static_cast<std::size_t>(day.whole("placers", 1, 1000, 1));
+    p.owners = static_cast<std::size_t>(day.whole("owners", 1, 1000, 1));
+    p.list_pushes = day.truth("list_pushes", true);
+    p.list_late = day.span("list_late_ms", 0, 3600 * kSecond, 500 * kMillisecond);
+
+    if (!root.has("fleet")) root.wrong("fleet", "is missing: a table with nodes and zones");
+    config::Table fleet = root.table("fleet");
+    p.nodes = static_cast<std::size_t>(fleet.whole("nodes", 1, 100'000));
+    p.zones = fleet.texts("zones");
+    p.cells_in_zone = static_cast<int>(fleet.whole("cells_in_zone", 1, 10'000, 1));
+    NodeTerms& n = p.node;
+    const Nanos hour = 3600 * kSecond;
+    n.judge = fleet.span("judge_ms", 0, hour, n.judge);
+    n.line = static_cast<std::size_t>(fleet.whole("line", 1, 1'000'000, static_cast<std::int64_t>(n.line)));
+    n.starts = static_cast<int>(fleet.whole("starts", 1, 10'000, n.starts));
+    n.start = fleet.span("start_ms", kMillisecond, hour, n.start);
+    n.without_program = fleet.number("without_program", 1, 1000, n.without_program);
+    n.program_kept = fleet.span("program_kept_ms", 0, hour, n.program_kept);
+
+    p.kinds = config::machine_kinds(root);
+    for (const config::Group& g : config::queue_groups(root, p.kinds.size()))
+        p.groups.push_back({g.name, g.terms});
+    const Acceptance accepts = config::acceptance(root);
+    const ColdTerms cold = config::cold_terms(root);
+    config::launch_terms(root);
+    config::prices(root);
+    config::intake_limits(root);
+    p.drain_grace = config::link_terms(root).drain_grace;
+    config::dialling(root);
+    config::saying(root);
+    n.cores_multiple = accepts.cores_multiple;
+    n.memory_multiple = accepts.memory_multiple;
+    n.yes_on_running = accepts.yes_on_running;
+    n.preempts = accepts.preempts;
+    n.reports_use = accepts.reports_use;
+    n.cold_from = cold.from;
+    n.warm_after = cold.warm_after;
+    n.fall_multiple = cold.multiple;
+    n.fall_window = cold.window;
+    n.always_borne = cold.always_borne;
+
+    std::vector<std::string_view> group_names;
+    for (const GroupTerms& g : p.groups) group_names.push_back(g.name);
+    for (config::Table& t : root.tables("load")) {
+        Load l;
+        l.group = static_cast<int>(t.word("group", group_names));
+        l.a_second = t.number("a_second", 0, 1e6);
+        l.services = static_cast<int>(t.whole("services", 1, 100'000, 4));
+        l.batch = static_cast<int>(t.whole("batch", 1, 10'000, 1));
+        l.cores = amounts(t, "cores");
+        l.memory = amounts(t, "memory");
+        if (l.cores.size() != l.memory.size()) t.wrong("memory", "must have as many shapes as cores");
+        l.queue_timeout = t.span("queue_timeout_ms", 10 * kMillisecond, hour);
+        l.life_least = t.span("life_least_ms", kMillisecond, hour, l.life_least);
+        l.life_most = t.span("life_most_ms", l.life_least, hour, std::max(l.life_least, l.life_most));
+        p.loads.push_back(l);
+    }
+    if (p.loads.empty()) root.wrong("load", "must name one load or more");
+    for (config::Table& t : root.tables("fault")) {
+        Fault f;
+        f.at = t.span("at_s", 0, p.length);
+        f.lasts = t.span("for_s", 0, p.length, 0);
+        f.what = static_cast<Do>(t.word("do", kDo));
+        f.size = t.number("size", 0, 1e6, 1);
+        f.tell = t.truth("tell", true);
+        const bool share = f.what == Do::refuse || f.what == Do::fail_starts || f.what == Do::lose_answers;
+        if (share && f.size > 1) t.wrong("size", "is a share here: at most 1");
+        if (at_nodes(f.what)) {
+            const auto first =
+                static_cast<std::size_t>(t.whole("node", 0, static_cast<std::int64_t>(p.nodes) - 1, 0));
+            const auto count =
+                static_cast<std::size_t>(t.whole("count", 1, static_cast<std::int64_t>(p.nodes - first), 1));
+            const bool zone = t.has("zone");
+            if (zone) {
+                const std::string name = t.text("zone");
+                const auto at = std::find(p.zones.begin(), p.zones.end(), name);
+                if (at == p.zones.end()) t.wrong("zone", "must be one of fleet.zones");
+                for (std::size_t i = 0; i < p.nodes; ++i)
+                    if (static_cast<std::ptrdiff_t>(i % p.zones.size()) == at - p.zones.begin())
+                        f.nodes.push_back(i);
+            } else {
+                for (std::size_t i = first; i < first + count; ++i) f.nodes.push_back(i);
+            }
+        } else if (at_placer(f.what)) {
+            f.which =
+                static_cast<std::size_t>(t.whole("placer", 0, static_cast<std::int64_t>(p.placers) - 1, 0));
+        } else if (at_owner(f.what)) {
+            f.which =
+                static_cast<std::size_t>(t.whole("owner", 0, static_cast<std::int64_t>(p.owners) - 1, 0));
+        }
+        p.faults.push_back(f);
+    }
+    std::stable_sort(p.faults.begin(), p.faults.end(),
+                     [](const Fault& a, const Fault& b) { return a.at < b.at; });
+    problems = file.problems();
+    if (!problems.empty()) return p;
+    toml::table all = toml::parse(text).table();
+    for (const char* own : {"day", "fleet", "load", "fault", "placer", "list"}) all.erase(own);
+    std::ostringstream out;
+    out << toml::toml_formatter(all);
+    p.placer_tables = out.str();
+    return p;
+}
+
+}  // namespace
+
+Plan parse_plan(const std::string& text, const std::string& name, std::vector<std::string>& problems) {
+    config::Document file = config::Document::parse(text, name);
+    return plan_of(file, text, problems);
+}
+
+Plan read_plan(const std::string& path, std::vector<std::string>& problems) {
+    std::ifstream in(path, std::ios::binary);
+    if (!in) {
+        problems = {path + ": can't be read"};
+        return {};
+    }
+    return parse_plan({std::istreambuf_iterator<char>(in), {}}, path, problems);
+}
+
+std::string placer_file(const Plan& p, std::size_t i, const std::string& listen, const std::string& list) {
+    std::ostringstream out;
+    out << p.placer_tables << "\n\n[placer]\nname = \"placer-" << i << "\"\nlisten = \"" << listen
+        << "\"\nzone = \"" << p.zones[i % p.zones.size()] << "\"\nzones = [";
+    for (std::size_t z = 0; z < p.zones.size(); ++z) out << (z ? ", " : "") << '"' << p.zones[z] << '"';
+    out << "]\nplacers = " << p.placers << "\nme = " << i << "\n\n[list]\naddress = \"" << list
+        << "\"\nmode = \"" << (p.list_pushes ? "push" : "on_request") << "\"\n";
+    return out.str();
+}
+
+// ---------------------------------------------------------------- the play
+
+Play::Play(const Plan& plan, Ground& ground, std::function<void(const std::string&)> progress)
+    : plan_(plan), ground_(ground), progress_(std::move(progress)),
+      fleet_(std::make_unique<Fleet>(ground.loop(), seen_, plan.groups, plan.seed)),
+      chance_(static_cast<std::ranlux24_base::result_type>(plan.seed * 7919 + 1)) {}
+
+Play::~Play() = default;
+
+void Play::later(Nanos at, std::function<void()> f) {
+    laters_.push_back(std::make_unique<Later>(std::move(f)));
+    fleet_->arm(*laters_.back(), at);
+    if (laters_.size() > 4096) std::erase_if(laters_, [](const auto& l) { return !l->armed(); });
+}
+
+std::string Play::raise(std::size_t i, const std::string& name, const std::string& address, Nanos started) {
+    Place& at = places_[i];
+    NodeTerms terms = plan_.node;
+    terms.cores = plan_.kinds[static_cast<std::size_t>(at.kind)].cores;
+    terms.memory = plan_.kinds[static_cast<std::size_t>(at.kind)].memory;
+    if (nodes_[i]) dead_.push_back(std::move(nodes_[i]));
+    nodes_[i] = std::make_unique<Node>(*fleet_, ground_.node_loop(name, at.zone), name, at.zone, at.cell,
+                                       terms, next_incarnation_++, started);
+    const std::string wrong = nodes_[i]->listen(address);
+    if (!wrong.empty()) return name + " can't listen on " + address + ": " + wrong;
+    at.name = name;
+    at.address = nodes_[i]->address();
+    at.started = started;
+    all_places_.push_back({name, at.zone, at.cell});
+    return "";
+}
+
+std::string Play::start(std::function<void(const Outcome&)> done) {
+    done_ = std::move(done);
+    list_ = std::make_unique<ListService>(ground_.loop(), seen_, plan_.list_pushes, plan_.list_late, 1);
+    std::string wrong = list_->listen(ground_.list_address());
+    if (!wrong.empty()) return "the list service can't listen: " + wrong;
+    nodes_.resize(plan_.nodes);
+    const int zones = static_cast<int>(plan_.zones.size());
+    for (std::size_t i = 0; i < plan_.nodes; ++i) {
+        const int zone = static_cast<int>(i) % zones;
+        const int cell = zone * plan_.cells_in_zone + static_cast<int>(i) / zones % plan_.cells_in_zone;
+        places_.push_back({"", "", zone, cell, static_cast<int>(i % plan_.kinds.size()), 0, 0});
+        const std::string name = "node-" + std::to_string(next_node_++);
+        wrong = raise(i, name, ground_.node_address(name), 0);
+        if (!wrong.empty()) return wrong;
+        put(i);
+    }
+    std::vector<std::string> placers;
+    for (std::size_t i = 0; i < plan_.placers; ++i) {
+        placers.push_back(ground_.placer_address(i));
+        ground_.start_placer(i, placer_file(plan_, i, placers.back(), list_->address()));
+    }
+    for (std::size_t i = 0; i < plan_.owners; ++i) {
+        owners_.push_back(std::make_unique<Owner>(*fleet_, "owner-" + std::to_string(i), placers));
+        owners_.back()->connect();
+    }
+    await(ground_.loop().now() + 20 * kSecond);
+    return "";
+}
+
+// The day begins when every owner has every placer, and the first list had its time.
+void Play::await(Nanos give_up) {
+    bool all = true;
+    for (const auto& o : owners_)
+        for (std::size_t i = 0; i < plan_.placers; ++i) all = all && o->connected(i);
+    const Nanos now = ground_.loop().now();
+    if (all || now > give_up) later(now + plan_.list_late + 500 * kMillisecond, [this] { begin(); });
+    else later(now + 50 * kMillisecond, [this, give_up] { await(give_up); });
+}
+
+void Play::begin() {
+    began_ = ground_.loop().now();
+    for (std::size_t i = 0; i < plan_.loads.size(); ++i) arrive(i);
+    for (const Fault& f : plan_.faults) {
+        later(began_ + f.at, [this, &f] { lay(f); });
+        if (f.lasts) later(began_ + f.at + f.lasts, [this, &f] { lift(f); });
+    }
+    refresh();
+    tell_progress();
+    later(began_ + plan_.length, [this] { finish(); });
+}
+
+void Play::arrive(std::size_t i) {
+    const Load& l = plan_.loads[i];
+    const Nanos now = ground_.loop().now();
+    if (now >= began_ + plan_.length) return;
+    if (now > began_) {
+        const auto roll = [this](std::size_t n) { return static_cast<std::size_t>(chance_()) % n; };
+        const std::string service = plan_.groups[static_cast<std::size_t>(l.group)].name + "-" +
+                                    std::to_string(roll(static_cast<std::size_t>(l.services)));
+        const std::size_t shape = planner::mark_of(service) % l.cores.size();
+        for (int k = 0; k < l.batch; ++k) {
+            Ask a;
+            a.container = "c" + std::to_string(next_container_++);
+            a.service = service;
+            a.group = l.group;
+            a.cores = l.cores[shape];
+            a.memory = l.memory[shape];
+            a.queue_timeout = l.queue_timeout;
+            a.life = l.life_least + static_cast<Nanos>(static_cast<double>(roll(4096)) / 4096 *
+                                                       static_cast<double>(l.life_most - l.life_least));
+            std::size_t who = roll(owners_.size());
+            for (std::size_t tried = 0; owners_[who]->left() && tried < owners_.size(); ++tried)
+                who = (who + 1) % owners_.size();
+            owners_[who]->ask(a);
+        }
+    }
+    const double u = (static_cast<double>(chance_() % 65536) + 1) / 65537;
+    const double gap = -std::log(u) / std::max(1e-9, l.a_second * burst_ / l.batch);
+    later(now + std::max<Nanos>(1, static_cast<Nanos>(gap * 1e9)), [this, i] { arrive(i); });
+}
+
+void Play::put(std::size_t i) {
+    v1::Entry e;
+    const Place& at = places_[i];
+    e.set_node(at.name);
+    e.set_address(at.address);
+    e.set_zone(static_cast<std::uint32_t>(at.zone));
+    e.set_cell(static_cast<std::uint32_t>(at.cell));
+    e.set_kind(static_cast<std::uint32_t>(at.kind));
+    const Node* n = nodes_[i].get();
+    if (!n) return;
+    e.set_free_cores(n->free_cores());
+    e.set_free_memory(n->free_memory());
+    e.set_stage(n->draining() ? v1::Entry::DRAINING : v1::Entry::SERVING);
+    list_->put(e, at.started);
+}
+
+void Play::refresh() {
+    for (std::size_t i = 0; i < nodes_.size(); ++i) put(i);
+    if (!over_) later(ground_.loop().now() + 500 * kMillisecond, [this] { refresh(); });
+}
+
+void Play::trouble(std::size_t i, bool on) {
+    Place& at = places_[i];
+    if (on && at.troubles++ == 0 && nodes_[i]) nodes_[i]->trouble(true);
+    if (!on && --at.troubles == 0 && nodes_[i]) nodes_[i]->trouble(false);
+}
+
+void Play::lay(const Fault& f) {
+    const Nanos now = ground_.loop().now();
+    progress_("fault " + std::string(kDo[static_cast<std::size_t>(f.what)]) +
+              (f.nodes.empty() ? "" : " on " + std::to_string(f.nodes.size()) + " node(s)"));
+    const auto each = [&](auto then) {
+        for (const std::size_t i : f.nodes)
+            if (nodes_[i]) then(i);
+    };
+    const auto with = [&](auto change) {
+        each([&](std::size_t i) {
+            Faults now_in_force = nodes_[i]->faults();
+            change(now_in_force);
+            trouble(i, true);
+            nodes_[i]->set(now_in_force);
+        });
+    };
+    const auto dies = [this](std::size_t i) {
+        seen_.add(
+            {ground_.loop().now(), What::node_trouble, "", nodes_[i]->name(), "", "", -1, 0, 0, 0, "dead"});
+        ground_.node_killed(nodes_[i]->name());
+        nodes_[i].reset();
+    };
+    switch (f.what) {
+        case Do::drain:
+            each([&](std::size_t i) {
+                nodes_[i]->drain(f.tell);
+                put(i);
+            });
+            break;
+        case Do::kill:
+            each([&](std::size_t i) {
+                const std::string name = places_[i].name;
+                dies(i);
+                later(now + plan_.list_late + kSecond, [this, name] { list_->remove(name); });
+            });
+            break;
+        case Do::rejoin:
+            each([&](std::size_t i) {
+                const Place at = places_[i];
+                dies(i);
+                later(now + 300 * kMillisecond, [this, i, at] {
+                    raise(i, at.name, at.address, ground_.loop().now());
+                    seen_.add({ground_.loop().now(), What::node_well, "", at.name, "", "", -1, 0, 0, 0, ""});
+                    put(i);
+                });
+            });
+            break;
+        case Do::silent:
+            with([](Faults& x) { x.silent = true; });
+            break;
+        case Do::slow:
+            with([&](Faults& x) { x.slow = f.size; });
+            break;
+        case Do::refuse:
+            with([&](Faults& x) { x.refuse = f.size; });
+            break;
+        case Do::fail_starts:
+            with([&](Faults& x) { x.fail_starts = f.size; });
+            break;
+        case Do::lose_answers:
+            with([&](Faults& x) { x.lose_answers = f.size; });
+            break;
+        case Do::late_yes:
+            with([&](Faults& x) { x.late_yes = static_cast<Nanos>(f.size * 1e9); });
+            break;
+        case Do::twice:
+            with([](Faults& x) { x.twice = true; });
+            break;
+        case Do::reset:
+            each([&](std::size_t i) {
+                trouble(i, true);
+                nodes_[i]->drop_connections();
+                trouble(i, false);
+            });
+            break;
+        case Do::list_still:
+            list_->stand_still(true);
+            break;
+        case Do::list_backwards:
+            list_->go_backwards();
+            break;
+        case Do::list_none:
+            list_->name_none();
+            // It is right again with the next changes, which name all.
+            break;
+        case Do::list_twice:
+            each([&](std::size_t i) {
+                v1::Entry other;
+                other.set_node(places_[i].name);
+                other.set_address(places_[i].address);
+                other.set_stage(v1::Entry::SERVING);
+                other.set_free_cores(1e6);
+                list_->name_twice(places_[i].name, other);
+            });
+            break;
+        case Do::placer_kill:
+            seen_.add(
+                {now, What::placer_killed, "placer-" + std::to_string(f.which), "", "", "", -1, 0, 0, 0, ""});
+            ground_.kill_placer(f.which);
+            break;
+        case Do::placer_stall:
+            seen_.add({now, What::placer_stalled, "placer-" + std::to_string(f.which), "", "", "", -1, 0, 0,
+                       0, ""});
+            ground_.stall_placer(f.which, true);
+            break;
+        case Do::owner_leave:
+            for (std::size_t i = 0; i < plan_.placers; ++i) owners_[f.which]->leave(i);
+            break;
+        case Do::owner_half:
+            owners_[f.which]->half_message(0);
+            break;
+        case Do::owner_deaf:
+            owners_[f.which]->read(0, false);
+            break;
+        case Do::burst:
+            burst_ = f.size;
+            break;
+        case Do::withdraw:
+            owners_[f.which]->withdraw_some(static_cast<std::size_t>(f.size));
+            break;
+    }
+}
+
+void Play::lift(const Fault& f) {
+    const Nanos now = ground_.loop().now();
+    const auto without = [&](auto change) {
+        for (const std::size_t i : f.nodes)
+            if (nodes_[i]) {
+                Faults x = nodes_[i]->faults();
+                change(x);
+                nodes_[i]->set(x);
+                trouble(i, false);
+            }
+    };
+    switch (f.what) {
+        case Do::drain:  // it dies, and a cold successor comes up elsewhere
+            for (const std::size_t i : f.nodes) {
+                if (!nodes_[i]) continue;
+                nodes_[i]->send_all_away();
+                const std::string old = places_[i].name;
+                list_->remove(old);
+                seen_.add({now, What::node_trouble, "", old, "", "", -1, 0, 0, 0, "dead"});
+                ground_.node_killed(old);
+                nodes_[i].reset();
+                const std::string name = "node-" + std::to_string(next_node_++);
+                raise(i, name, ground_.node_address(name), now);
+                put(i);
+            }
+            break;
+        case Do::silent:
+            without([](Faults& x) { x.silent = false; });
+            break;
+        case Do::slow:
+            without([](Faults& x) { x.slow = 1; });
+            break;
+        case Do::refuse:
+            without([](Faults& x) { x.refuse = 0; });
+            break;
+        case Do::fail_starts:
+            without([](Faults& x) { x.fail_starts = 0; });
+            break;
+        case Do::lose_answers:
+            without([](Faults& x) { x.lose_answers = 0; });
+            break;
+        case Do::late_yes:
+            without([](Faults& x) { x.late_yes = 0; });
+            break;
+        case Do::twice:
+            without([](Faults& x) { x.twice = false; });
+            break;
+        case Do::list_still:
+            list_->stand_still(false);
+            break;
+        case Do::placer_kill:
+            ground_.start_placer(
+                f.which, placer_file(plan_, f.which, ground_.placer_address(f.which), list_->address()));
+            break;
+        case Do::placer_stall:
+            ground_.stall_placer(f.which, false);
+            seen_.add(
+                {now, What::placer_well, "placer-" + std::to_string(f.which), "", "", "", -1, 0, 0, 0, ""});
+            break;
+        case Do::owner_deaf:
+            owners_[f.which]->read(0, true);
+            break;
+        case Do::burst:
+            burst_ = 1;
+            break;
+        default:
+            break;
+    }
+}
+
+void Play::tell_progress() {
+    const Nanos now = ground_.loop().now();
+    std::size_t waiting = 0, running = 0;
+    std::uint64_t placed = 0, deferred = 0;
+    for (const auto& o : owners_) {
+        waiting += o->waiting();
+        for (const GroupCount& c : o->counts()) {
+            placed += c.placed;
+            deferred += c.deferred;
+        }
+    }
+    for (const auto& n : nodes_) running += n ? n->containers() : 0;
+    std::ostringstream out;
+    out << "at " << (now - began_) / kSecond << " s: waiting " << waiting << ", on nodes " << running
+        << ", placed " << placed << ", deferred " << deferred;
+    progress_(out.str());
+    if (!over_) later(now + 5 * kSecond, [this] { tell_progress(); });
+}
+
+void Play::finish() {
+    const Nanos now = ground_.loop().now();
+    Nanos longest = 0;
+    for (const Load& l : plan_.loads) longest = std::max(longest, l.queue_timeout);
+    std::size_t waiting = 0;
+    for (const auto& o : owners_) waiting += o->waiting();
+    if (waiting && now < began_ + plan_.length + 2 * longest + 5 * kSecond)
+        return later(now + 100 * kMillisecond, [this] { finish(); });
+    over_ = true;
+    Outcome out;
+    Terms terms;
+    terms.groups = plan_.groups;
+    terms.places = all_places_;
+    terms.drain_grace = plan_.drain_grace;
+    out.verdict = check(seen_, terms, now);
+    out.counts.resize(plan_.groups.size());
+    for (const auto& o : owners_) {
+        for (std::size_t g = 0; g < out.counts.size(); ++g) {
+            const GroupCount& c = o->counts()[g];
+            GroupCount& to = out.counts[g];
+            to.asked += c.asked;
+            to.placed += c.placed;
+            to.deferred += c.deferred;
+            to.killed += c.killed;
+            to.in_time += c.in_time;
+            to.again += c.again;
+            to.never += c.never;
+        }
+    }
+    out.still_waiting = waiting;
+    done_(out);
+}
+
+std::string Play::table(const Outcome& out) const {
+    std::ostringstream t;
+    const auto cell = [&t](const std::string& s, std::size_t width) {
+        t << s << std::string(width > s.size() ? width - s.size() : 1, ' ');
+    };
+    for (const char* head :
+         {"queue group", "asked", "placed", "in time", "deferred", "killed", "asked again", "never"})
+        cell(head, head == std::string("queue group") ? 20 : 12);
+    t << '\n';
+    for (std::size_t g = 0; g < out.counts.size(); ++g) {
+        const GroupCount& c = out.counts[g];
+        cell(plan_.groups[g].name, 20);
+        for (const std::uint64_t n : {c.asked, c.placed, c.in_time, c.deferred, c.killed, c.again, c.never})
+            cell(std::to_string(n), 12);
+        t << '\n';
+    }
+    return t.str();
+}
+
+}  // namespace whinpost::standin
--- /dev/null
+++ b/standin/day.h
@@ -0,0 +1,159 @@
+// A scripted day: a fleet, owners with their load, and faults at their times, read from TOML and played
+// through real placers. Where they run (child processes on sockets, or objects in virtual time) is the
+// ground's to say.
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "config/document.h"
+#include "standin/checker.h"
+#include "standin/list_service.h"
+#include "standin/node.h"
+#include "standin/owner.h"
+
+namespace whinpost::standin {
+
+enum class Do {
+    drain,         // told by the list and, where `tell`, by the node; it dies `for_s` later
+    kill,          // without a word; the list finds out later
+    rejoin,        // killed, and another stands at its address under its name at once
+    silent,        // reads nothing and says nothing
+    slow,          // `size` times
+    refuse,        // the share `size`, without a reason
+    fail_starts,   // the share `size`
+    lose_answers,  // the share `size`
+    late_yes,      // by `size` seconds
+    twice,         // says each yes twice
+    reset,         // all its connections break off
+    list_still,
+    list_backwards,
+    list_none,
+    list_twice,
+    placer_kill,  // and started again after `for_s`
+    placer_stall,
+    owner_leave,  // closes its connection with all that waits
+    owner_half,   // sends half a message, and nothing more
+    owner_deaf,   // reads nothing
+    burst,        // `size` times the load
+    withdraw,     // the owner takes back `size` of what waits
+};
+
+struct Fault {
+    Nanos at = 0, lasts = 0;
+    Do what{};
+    std::vector<std::size_t> nodes;
+    std::size_t which = 0;  // placer or owner
+    double size = 1;
+    bool tell = true;
+};
+
+struct Load {
+    int group = 0;
+    double a_second = 1;
+    int services = 4, batch = 1;
+    std::vector<double> cores, memory;
+    Nanos queue_timeout = 5 * kSecond, life_least = 5 * kSecond, life_most = 15 * kSecond;
+};
+
+struct Plan {
+    std::string name;
+    Nanos length = 30 * kSecond;
+    std::uint64_t seed = 1;
+    std::size_t placers = 1, owners = 1, nodes = 1;
+    std::vector<std::string> zones;
+    int cells_in_zone = 1;
+    bool list_pushes = true;
+    Nanos list_late = 500 * kMillisecond;
+    NodeTerms node;
+    std::vector<MachineKind> kinds;
+    std::vector<GroupTerms> groups;
+    std::vector<Load> loads;
+    std::vector<Fault> faults;
+    Nanos drain_grace = kSecond;
+    std::string placer_tables;  // TOML: what all placers' files have in common
+};
+
+// Empty problems: the plan can be played.
+Plan read_plan(const std::string& path, std::vector<std::string>& problems);
+Plan parse_plan(const std::string& text, const std::string& name, std::vector<std::string>& problems);
+// A whole placer's file.
+std::string placer_file(const Plan&, std::size_t placer, const std::string& listen, const std::string& list);
+
+// Where the day is played.
+class Ground {
+public:
+    virtual ~Ground() = default;
+    virtual net::Loop& loop() = 0;  // of list service, owners, and the script
+    virtual net::Loop& node_loop(const std::string& node, int zone) = 0;
+    virtual std::string node_address(const std::string& node) = 0;  // to listen on
+    virtual std::string list_address() = 0;
+    virtual std::string placer_address(std::size_t) = 0;
+    virtual void start_placer(std::size_t, const std::string& file) = 0;
+    virtual void kill_placer(std::size_t) = 0;
+    virtual void stall_placer(std::size_t, bool) = 0;
+    virtual void node_killed(const std::string&) {}
+};
+
+struct Outcome {
+    Verdict verdict;
+    std::vector<GroupCount> counts;
+    std::size_t still_waiting = 0;
+};
+
+class Play {
+public:
+    Play(const Plan&, Ground&, std::function<void(const std::string&)> progress);
+    ~Play();
+    // Empty, or what could not be started. `done` is called when the day is over.
+    std::string start(std::function<void(const Outcome&)> done);
+    const Seen& seen() const { return seen_; }
+    Nanos began() const { return began_; }
+    Fleet& fleet() { return *fleet_; }
+    Node* node(std::size_t i) { return nodes_[i].get(); }
+    Owner& owner(std::size_t i) { return *owners_[i]; }
+    ListService& list() { return *list_; }
+    std::string table(const Outcome&) const;
+
+private:
+    void await(Nanos give_up);
+    void begin();
+    void arrive(std::size_t load);
+    void lay(const Fault&);
+    void lift(const Fault&);
+    void put(std::size_t node);
+    void refresh();
+    void tell_progress();
+    void finish();
+    std::string raise(std::size_t node, const std::string& name, const std::string& address, Nanos started);
+    void later(Nanos at, std::function<void()>);
+    void trouble(std::size_t node, bool on);
+
+    Plan plan_;
+    Ground& ground_;
+    std::function<void(const std::string&)> progress_;
+    std::function<void(const Outcome&)> done_;
+    Seen seen_;
+    std::unique_ptr<Fleet> fleet_;
+    std::unique_ptr<ListService> list_;
+    struct Place {
+        std::string name, address;
+        int zone, cell, kind;
+        Nanos started;
+        int troubles = 0;
+    };
+    std::vector<Place> places_;
+    std::vector<Placement> all_places_;
+    std::vector<std::unique_ptr<Node>> nodes_, dead_;
+    std::vector<std::unique_ptr<Owner>> owners_;
+    std::vector<std::unique_ptr<Later>> laters_;
+    std::ranlux24_base chance_;
+    Nanos began_ = 0;
+    double burst_ = 1;
+    std::uint64_t next_container_ = 1, next_incarnation_ = 1, next_node_ = 0;
+    bool over_ = false;
+};
+
+}  // namespace whinpost::standin
--- /dev/null
+++ b/standin/list_service.cpp
@@ -0,0 +1,163 @@
+#include "standin/list_service.h"
+
+#include <algorithm>
+
+namespace whinpost::standin {
+
+struct ListService::Session final : net::StreamUser {
+    Session(ListService& s, std::unique_ptr<net::Stream> st) : service(s), stream(std::move(st)) {}
+    std::size_t received(std::string_view in) override {
+        bool too_long = false;
+        return net::frames(in, 1 << 16, too_long, [this](std::string_view f) {
+            v1::ToList m;
+            if (!m.ParseFromArray(f.data(), static_cast<int>(f.size()))) return false;
+            if (m.has_hello()) {
+                placer = m.hello().name() + "#" + std::to_string(m.hello().incarnation());
+                v1::FromList back;
+                back.mutable_hello()->set_version(1);
+                back.mutable_hello()->set_name("list");
+                back.mutable_hello()->set_incarnation(service.incarnation_);
+                service.send(*this, back);
+                if (service.push_) {
+                    follows = true;
+                    service.tell(*this, {}, true);
+                }
+            } else if (m.has_follow()) {
+                follows = m.follow().on();
+                service.tell(*this, {}, true);
+            } else if (m.has_fetch()) service.tell(*this, {}, true);
+            return true;
+        });
+    }
+    void closed(net::Closed) override {
+        stream.reset();
+        auto& all = service.sessions_;
+        const auto it =
+            std::find_if(all.begin(), all.end(), [this](const auto& p) { return p.get() == this; });
+        service.left_.push_back(std::move(*it));
+        all.erase(it);
+        service.sweep_->arm(service.loop_.now());
+    }
+    ListService& service;
+    std::unique_ptr<net::Stream> stream;
+    std::string placer;
+    bool follows = false;
+};
+
+ListService::ListService(net::Loop& l, Seen& s, bool push, Nanos late, std::uint64_t incarnation)
+    : loop_(l), seen_(s), push_(push), late_(late), incarnation_(incarnation),
+      flush_(l.timer([this] { flush(); })), sweep_(l.timer([this] { left_.clear(); })) {}
+ListService::~ListService() = default;
+
+std::string ListService::listen(const std::string& address) {
+    std::string error;
+    listener_ = loop_.listen(
+        address,
+        [this](std::unique_ptr<net::Stream> s) {
+            net::Stream& stream = *s;
+            sessions_.push_back(std::make_unique<Session>(*this, std::move(s)));
+            loop_.use(stream, *sessions_.back());
+        },
+        error);
+    return listener_ ? "" : error;
+}
+
+v1::Entry ListService::aged(const Known& k) const {
+    v1::Entry e = k.entry;
+    e.set_up_for(k.started ? std::max<Nanos>(1, loop_.now() - k.started) : 0);
+    return e;
+}
+
+void ListService::send(Session& s, const v1::FromList& m) {
+    if (!s.stream) return;
+    std::string frame;
+    net::append_frame(frame, m);
+    s.stream->write(frame);
+    if (!m.has_entries()) return;
+    for (const v1::Entry& e : m.entries().entries()) {
+        Line l;
+        l.at = loop_.now();
+        l.what = e.stage() == v1::Entry::SERVING    ? What::list_serving
+                 : e.stage() == v1::Entry::DRAINING ? What::list_draining
+                                                    : What::list_gone;
+        l.placer = s.placer;
+        l.node = e.node();
+        seen_.add(std::move(l));
+    }
+}
+
+void ListService::tell(Session& s, const std::vector<std::string>& changed, bool whole) {
+    v1::FromList m;
+    v1::Entries& list = *m.mutable_entries();
+    list.set_whole(whole);
+    list.set_number(number_);
+    if (whole) {
+        for (const auto& [name, k] : known_)
+            if (k.entry.stage() != v1::Entry::GONE) *list.add_entries() = aged(k);
+        old_.push_back(m);
+        if (old_.size() > 20) old_.pop_front();
+    } else {
+        for (const std::string& name : changed) *list.add_entries() = aged(known_.at(name));
+    }
+    send(s, m);
+}
+
+void ListService::put(const v1::Entry& e, Nanos started) {
+    known_[e.node()] = {e, started};
+    changes_.emplace_back(loop_.now() + late_, e.node());
+    flush_->arm(changes_.front().first);
+}
+
+void ListService::remove(const std::string& node) {
+    const auto it = known_.find(node);
+    if (it == known_.end()) return;
+    it->second.entry.set_stage(v1::Entry::GONE);
+    changes_.emplace_back(loop_.now() + late_, node);
+    flush_->arm(changes_.front().first);
+}
+
+void ListService::flush() {
+    if (still_) {
+        flush_->arm(loop_.now() + 100 * kMillisecond);
+        return;
+    }
+    std::vector<std::string> due;
+    while (!changes_.empty() && changes_.front().first <= loop_.now()) {
+        if (std::find(due.begin(), due.end(), changes_.front().second) == due.end())
+            due.push_back(changes_.front().second);
+        changes_.pop_front();
+    }
+    if (!changes_.empty()) flush_->arm(changes_.front().first);
+    if (due.empty()) return;
+    ++number_;
+    for (const auto& s : sessions_)
+        if (s->follows) tell(*s, due, false);
+}
+
+void ListService::go_backwards() {
+    if (old_.empty()) return;
+    for (const auto& s : sessions_) {
+        // Not through send(): the checker is not to take what is old for what is so.
+        if (!s->stream) continue;
+        std::string frame;
+        net::append_frame(frame, old_.front());
+        s->stream->write(frame);
+    }
+}
+
+void ListService::name_none() {
+    v1::FromList m;
+    m.mutable_entries()->set_whole(true);
+    m.mutable_entries()->set_number(++number_);
+    for (const auto& s : sessions_) send(*s, m);
+}
+
+void ListService::name_twice(const std::string& node, const v1::Entry& other) {
+    v1::FromList m;
+    m.mutable_entries()->set_number(++number_);
+    *m.mutable_entries()->add_entries() = other;
+    *m.mutable_entries()->add_entries() = aged(known_.at(node));
+    for (const auto& s : sessions_) send(*s, m);
+}
+
+}  // namespace whinpost::standin
--- /dev/null
+++ b/standin/list_service.h
@@ -0,0 +1,54 @@
+// The list of nodes as a service: pushed or asked for, late, and wrong in the ways a script says.
+#pragma once
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/net.h"
+#include "proto/list.pb.h"
+#include "standin/seen.h"
+
+namespace whinpost::standin {
+
+class ListService {
+public:
+    ListService(net::Loop&, Seen&, bool push, Nanos late, std::uint64_t incarnation);
+    ~ListService();
+    std::string listen(const std::string& address);
+    std::string address() const { return listener_->address(); }
+
+    // The truth, from which the list is made. Followers hear of changes `late` afterwards.
+    void put(const v1::Entry&, Nanos started);
+    void remove(const std::string& node);  // gone
+    void stand_still(bool on) { still_ = on; }
+    void go_backwards();  // tells the whole list of some changes ago, with its old number
+    void name_none();     // tells an empty whole list once
+    void name_twice(const std::string& node, const v1::Entry& other);
+
+private:
+    struct Session;
+    struct Known {
+        v1::Entry entry;
+        Nanos started;
+    };
+    void tell(Session&, const std::vector<std::string>& changed, bool whole);
+    void flush();
+    v1::Entry aged(const Known&) const;
+    void send(Session&, const v1::FromList&);
+
+    net::Loop& loop_;
+    Seen& seen_;
+    bool push_, still_ = false;
+    Nanos late_;
+    std::uint64_t incarnation_, number_ = 1;
+    std::unique_ptr<net::Listener> listener_;
+    std::vector<std::unique_ptr<Session>> sessions_, left_;
+    std::map<std::string, Known> known_;
+    std::deque<std::pair<Nanos, std::string>> changes_;
+    std::deque<v1::FromList> old_;
+    std::unique_ptr<net::Timer> flush_, sweep_;
+};
+
+}  // namespace whinpost::standin
--- /dev/null
+++ b/standin/node.cpp
@@ -0,0 +1,610 @@
+#include "standin/node.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "planner/planning.h"
+
+namespace whinpost::standin {
+
+// ---------------------------------------------------------------- the fleet
+
+Fleet::Fleet(net::Loop& l, Seen& s, std::vector<GroupTerms> g, std::uint64_t seed)
+    : loop(l), seen(s), groups(std::move(g)), chance(static_cast<std::ranlux24_base::result_type>(seed)),
+      wheel_(l.now()), tick_(l.timer([this] { turn(); })) {}
+
+void Fleet::arm(wheel::Timer& t, Nanos at) {
+    wheel_.arm(t, at);
+    if (!tick_at_ || at < tick_at_) tick_->arm(tick_at_ = at);
+}
+
+void Fleet::turn() {
+    tick_at_ = 0;
+    wheel_.turn(loop.now());
+    const Nanos next = wheel_.next();
+    if (next && (!tick_at_ || next < tick_at_)) tick_->arm(tick_at_ = std::max(next, loop.now() + 1));
+}
+
+namespace {
+std::string mark_key(const QueueGroup& g, const std::string& container, int zone, int cell,
+                     const std::string& node) {
+    switch (g.repeats_dropped_by) {
+        case Place::zone:
+            return "zone" + std::to_string(zone) + "/" + container;
+        case Place::cell:
+            return "cell" + std::to_string(cell) + "/" + container;
+        case Place::machine:
+            return node + "/" + container;
+        default:
+            return "all/" + container;
+    }
+}
+}  // namespace
+
+bool Fleet::repeat(Nanos now, int group, const std::string& container, int zone, int cell) {
+    const QueueGroup& g = groups[static_cast<std::size_t>(group)].terms;
+    if (g.effect != Effect::fingerprinted) return false;
+    const auto it = marks_.find(mark_key(g, container, zone, cell, ""));
+    return it != marks_.end() && now - it->second < g.repeat_window;
+}
+
+void Fleet::mark(Nanos now, int group, const std::string& container, int zone, int cell) {
+    const QueueGroup& g = groups[static_cast<std::size_t>(group)].terms;
+    if (g.effect == Effect::fingerprinted) marks_[mark_key(g, container, zone, cell, "")] = now;
+}
+
+// ---------------------------------------------------------------- one node
+
+struct Node::Asked {
+    std::string placer;  // name#incarnation
+    std::string name;
+    std::uint64_t incarnation = 0;
+    v1::Launch launch;
+    std::uint64_t probe = 0;
+    bool is_probe = false, stopped = false;
+};
+
+struct Node::Container {
+    std::string placer, name;
+    std::uint64_t incarnation = 0;
+    v1::Launch launch;
+    bool running = false, starting = false;
+    bool mute = false;  // no word of it finds its way, but in a greeting
+    Nanos accepted = 0;
+    double use = 1;  // of what was asked
+    std::unique_ptr<Later> starts, ends;
+};
+
+struct Node::Session final : net::StreamUser {
+    Session(Node& n, std::unique_ptr<net::Stream> s) : node(n), stream(std::move(s)) {}
+    std::size_t received(std::string_view in) override {
+        bool too_long = false;
+        const std::size_t done = net::frames(in, 1 << 16, too_long, [this](std::string_view f) {
+            v1::ToNode m;
+            if (gone || !m.ParseFromArray(f.data(), static_cast<int>(f.size()))) return false;
+            return message(m);
+        });
+        if (unacknowledged && !gone) {
+            v1::FromNode m;
+            m.mutable_received()->set_launches(launches);
+            unacknowledged = false;
+            send(m);
+        }
+        return done;
+    }
+    void closed(net::Closed) override { node.leave(*this); }
+    void send(const v1::FromNode& m) {
+        if (!stream || node.faults_.silent) return;
+        std::string frame;
+        net::append_frame(frame, m);
+        stream->write(frame);
+    }
+    bool message(const v1::ToNode& m);
+
+    Node& node;
+    std::unique_ptr<net::Stream> stream;
+    std::string placer, name;
+    std::uint64_t incarnation = 0, launches = 0;
+    bool gone = false, unacknowledged = false;
+};
+
+Node::Node(Fleet& f, net::Loop& on, std::string name, int zone, int cell, NodeTerms t,
+           std::uint64_t incarnation, Nanos started)
+    : fleet_(f), on_(on), name_(std::move(name)), zone_(zone), cell_(cell), terms_(t),
+      incarnation_(incarnation), started_(started), judging_(std::make_unique<Later>([this] { judged(); })),
+      noting_(std::make_unique<Later>([this] { notes(); })),
+      sweeping_(std::make_unique<Later>([this] { left_.clear(); })) {
+    fleet_.arm(*noting_, fleet_.loop.now() + terms_.note_every);
+}
+
+Node::~Node() = default;
+
+std::string Node::listen(const std::string& address) {
+    std::string error;
+    listener_ = on_.listen(
+        address, [this](std::unique_ptr<net::Stream> s) { accept(std::move(s)); }, error);
+    return listener_ ? "" : error;
+}
+
+Line Node::line(What w, const std::string& placer, const std::string& container) {
+    Line l;
+    l.at = fleet_.loop.now();
+    l.what = w;
+    l.placer = placer;
+    l.node = name_;
+    l.container = container;
+    return l;
+}
+
+void Node::accept(std::unique_ptr<net::Stream> s) {
+    net::Stream& stream = *s;
+    sessions_.push_back(std::make_unique<Session>(*this, std::move(s)));
+    if (faults_.silent) stream.read(false);
+    on_.use(stream, *sessions_.back());
+    if (faults_.silent) stream.read(false);
+}
+
+void Node::leave(Session& s) {
+    if (s.gone) return;
+    s.gone = true;
+    s.stream.reset();
+    if (!s.placer.empty()) fleet_.seen.add(line(What::link_lost, s.placer, ""));
+    const auto it =
+        std::find_if(sessions_.begin(), sessions_.end(), [&s](const auto& p) { return p.get() == &s; });
+    left_.push_back(std::move(*it));
+    sessions_.erase(it);
+    fleet_.arm(*sweeping_, fleet_.loop.now() + kMillisecond);
+}
+
+bool Node::Session::message(const v1::ToNode& m) {
+    if (m.has_hello()) {
+        name = m.hello().name();
+        incarnation = m.hello().incarnation();
+        placer = name + "#" + std::to_string(incarnation);
+        // What the same placer wrote on an earlier connection is not read any more.
+        std::vector<Session*> older;
+        for (const auto& s : node.sessions_)
+            if (s.get() != this && s->name == name) older.push_back(s.get());
+        for (Session* s : older) node.leave(*s);
+        v1::FromNode back;
+        back.mutable_hello()->set_version(1);
+        back.mutable_hello()->set_name(node.name_);
+        back.mutable_hello()->set_incarnation(node.incarnation_);
+        send(back);
+        for (const Told& t : node.ends_)
+            if (t.placer == name && t.incarnation == incarnation) send(t.message);
+        v1::FromNode holding;
+        holding.mutable_holding()->set_draining(node.draining_);
+        holding.mutable_holding()->set_remembers(node.terms_.remembers);
+        const auto name_it = [&](std::uint64_t launch, bool accepted, bool running) {
+            v1::Held* h = holding.mutable_holding()->add_held();
+            h->set_launch(launch);
+            h->set_accepted(accepted);
+            h->set_running(running);
+        };
+        for (const auto& a : node.line_)
+            if (!a->is_probe && !a->stopped && a->name == name && a->incarnation == incarnation)
+                name_it(a->launch.launch(), false, false);
+        for (const auto& c : node.containers_)
+            if (c->name == name && c->incarnation == incarnation)
+                name_it(c->launch.launch(), !node.terms_.yes_on_running || c->running, c->running);
+        send(holding);
+        if (node.draining_) node.fleet_.seen.add(node.line(What::drain_said, placer, ""));
+        return true;
+    }
+    if (m.has_launch()) {
+        ++launches;
+        unacknowledged = true;
+        ++node.launches_;
+        Line l = node.line(What::launch, placer, m.launch().container());
+        l.service = m.launch().service();
+        l.group = static_cast<int>(m.launch().group());
+        l.ask = m.launch().ask();
+        l.launch = m.launch().launch();
+        node.fleet_.seen.add(l);
+        auto a = std::make_unique<Asked>();
+        a->placer = placer;
+        a->name = name;
+        a->incarnation = incarnation;
+        a->launch = m.launch();
+        node.pressure();
+        if (node.fallen_) return true;
+        if (node.line_.size() >= node.terms_.line) {
+            node.refuse(*a, v1::QUEUE_FULL);
+            return true;
+        }
+        node.line_.push_back(std::move(a));
+        node.judge_next();
+    } else if (m.has_probe()) {
+        if (m.probe().probe() == 0) {  // a sign of life needs no place in the line
+            v1::FromNode r;
+            r.mutable_probe_reply()->set_probe(0);
+            send(r);
+            return true;
+        }
+        if (node.line_.size() >= node.terms_.line) return true;
+        auto a = std::make_unique<Asked>();
+        a->placer = placer;
+        a->name = name;
+        a->incarnation = incarnation;
+        a->is_probe = true;
+        a->probe = m.probe().probe();
+        node.line_.push_back(std::move(a));
+        node.judge_next();
+    } else if (m.has_stop()) {
+        Line l = node.line(What::stop, placer, "");
+        l.launch = m.stop().launch();
+        node.fleet_.seen.add(l);
+        for (const auto& a : node.line_)
+            if (!a->is_probe && a->placer == placer && a->launch.launch() == m.stop().launch())
+                a->stopped = true;
+        for (const auto& c : node.containers_)
+            if (c->placer == placer && c->launch.launch() == m.stop().launch()) {
+                node.end(*c, v1::Ended::STOPPED, v1::UNTOLD);
+                break;
+            }
+    } else if (m.has_adopt()) {
+        for (const auto& c : node.containers_)
+            if (c->launch.container() == m.adopt().container()) {
+                c->placer = placer;
+                c->name = name;
+                c->incarnation = incarnation;
+                c->launch.set_launch(m.adopt().launch());
+                c->mute = false;
+                v1::FromNode r;
+                r.mutable_accepted()->set_launch(m.adopt().launch());
+                send(r);
+                if (c->running) {
+                    r.mutable_running()->set_launch(m.adopt().launch());
+                    send(r);
+                }
+                return true;
+            }
+        // It may have ended well while nobody looked after it.
+        v1::FromNode r;
+        r.mutable_ended()->set_how(v1::Ended::REFUSED);
+        r.mutable_ended()->set_reason(v1::NOT_HERE);
+        for (const Told& t : node.ends_)
+            if (t.container == m.adopt().container()) r = t.message;
+        r.mutable_ended()->set_launch(m.adopt().launch());
+        send(r);
+    }
+    return !gone;
+}
+
+// Says it to the placer's incarnation if that is connected. Ends are kept for its next greeting.
+void Node::say(const std::string& placer, std::uint64_t incarnation, v1::FromNode m, Nanos more) {
+    const auto now_say = [this, placer, incarnation, m] {
+        for (const auto& s : sessions_)
+            if (s->name == placer && s->incarnation == incarnation) {
+                s->send(m);
+                if (faults_.twice && m.has_accepted()) s->send(m);
+            }
+    };
+    if (more <= 0) return now_say();
+    auto later = std::make_unique<Later>(nullptr);
+    Later* self = later.get();
+    later->then = [this, now_say, self] {
+        now_say();
+        std::erase_if(late_, [self](const auto& p) { return p.get() == self; });
+    };
+    fleet_.arm(*later, fleet_.loop.now() + more);
+    late_.push_back(std::move(later));
+}
+
+void Node::remember(const std::string& placer, std::uint64_t incarnation, const v1::FromNode& m,
+                    const std::string& container) {
+    ends_.push_back({placer, incarnation, fleet_.loop.now(), m, container});
+    while (fleet_.loop.now() - ends_.front().at > terms_.remembers) ends_.pop_front();
+}
+
+void Node::refuse(const Asked& a, v1::Reason why) {
+    v1::FromNode m;
+    m.mutable_ended()->set_launch(a.launch.launch());
+    m.mutable_ended()->set_how(v1::Ended::REFUSED);
+    m.mutable_ended()->set_reason(why);
+    *m.mutable_ended()->mutable_report() = report();
+    Line l = line(What::refused, a.placer, a.launch.container());
+    l.launch = a.launch.launch();
+    l.ask = a.launch.ask();
+    fleet_.seen.add(l);
+    remember(a.name, a.incarnation, m, "");
+    say(a.name, a.incarnation, m, faults_.late_yes);
+}
+
+// ---------------------------------------------------------------- taking
+
+double Node::pace(Nanos now) const {
+    if (!started_) return 1;
+    const double part = static_cast<double>(now - started_) / static_cast<double>(terms_.warm_after);
+    return part >= 1 ? 1 : terms_.cold_from + (1 - terms_.cold_from) * std::max(0.0, part);
+}
+
+// While cold: every offer that reaches it counts, refused ones too; over what it bears within a window, it
+// falls over.
+void Node::pressure() {
+    const Nanos now = fleet_.loop.now();
+    if (fallen_ || pace(now) >= 1) return;
+    while (!offers_.empty() && now - offers_.front() >= terms_.fall_window) offers_.pop_front();
+    offers_.push_back(now);
+    const double a_second =
+        terms_.starts / (static_cast<double>(terms_.start) / 1e9 * terms_.without_program);
+    const double bears =
+        terms_.fall_multiple * pace(now) * a_second * static_cast<double>(terms_.fall_window) / 1e9;
+    if (static_cast<double>(offers_.size()) <= std::max(terms_.always_borne, bears)) return;
+    fallen_ = true;
+    fleet_.seen.add(line(What::fell, "", ""));
+    listener_.reset();
+    line_.clear();
+    drop_connections();
+}
+
+void Node::judge_next() {
+    if (judging_now_ || line_.empty()) return;
+    judging_now_ = true;
+    const auto took =
+        static_cast<Nanos>(static_cast<double>(terms_.judge) * faults_.slow / pace(fleet_.loop.now()));
+    fleet_.arm(*judging_, fleet_.loop.now() + took);
+}
+
+void Node::judged() {
+    judging_now_ = false;
+    if (line_.empty()) return;
+    if (faults_.silent) {  // it stands still: nothing in its line moves
+        judging_now_ = true;
+        fleet_.arm(*judging_, fleet_.loop.now() + 50 * kMillisecond);
+        return;
+    }
+    const auto a = std::move(line_.front());
+    line_.pop_front();
+    judge(*a);
+    judge_next();
+}
+
+bool Node::make_room(const Asked& a) {
+    const auto fits = [&] {
+        return asked_cores_ + a.launch.cores() <= terms_.cores * terms_.cores_multiple &&
+               asked_memory_ + a.launch.memory() <= terms_.memory * terms_.memory_multiple;
+    };
+    if (fits() || !terms_.preempts) return fits();
+    const int mine = fleet_.groups[a.launch.group()].terms.priority;
+    double cores = 0, memory = 0;
+    std::vector<Container*> out;
+    for (const auto& c : containers_) {
+        if (fleet_.groups[c->launch.group()].terms.priority >= mine) continue;
+        if (asked_cores_ - cores + a.launch.cores() <= terms_.cores * terms_.cores_multiple &&
+            asked_memory_ - memory + a.launch.memory() <= terms_.memory * terms_.memory_multiple)
+            break;
+        out.push_back(c.get());
+        cores += c->launch.cores();
+        memory += c->launch.memory();
+    }
+    if (asked_cores_ - cores + a.launch.cores() > terms_.cores * terms_.cores_multiple ||
+        asked_memory_ - memory + a.launch.memory() > terms_.memory * terms_.memory_multiple)
+        return false;
+    for (Container* c : out) end(*c, v1::Ended::RESET, v1::PUSHED_OUT);
+    return true;
+}
+
+void Node::judge(Asked& a) {
+    const Nanos now = fleet_.loop.now();
+    if (a.is_probe) {
+        v1::FromNode m;
+        m.mutable_probe_reply()->set_probe(a.probe);
+        *m.mutable_probe_reply()->mutable_report() = report();
+        return say(a.name, a.incarnation, m, faults_.late_yes);
+    }
+    if (a.stopped) return refuse(a, v1::UNTOLD);
+    if (draining_) return refuse(a, v1::NOT_HERE);
+    if (a.launch.group() >= fleet_.groups.size()) return refuse(a, v1::NOT_HERE);
+    if (fleet_.luck(faults_.refuse)) return refuse(a, v1::UNTOLD);
+    const int group = static_cast<int>(a.launch.group());
+    if (fleet_.repeat(now, group, a.launch.container(), zone_, cell_)) return refuse(a, v1::NOT_HERE);
+    if (!make_room(a))
+        return refuse(a, asked_cores_ + a.launch.cores() > terms_.cores * terms_.cores_multiple
+                             ? v1::NO_CORES
+                             : v1::NO_MEMORY);
+    if (fleet_.luck(faults_.fail_starts)) {
+        v1::FromNode m;
+        m.mutable_ended()->set_launch(a.launch.launch());
+        m.mutable_ended()->set_how(v1::Ended::ERROR);
+        Line l = line(What::ended, a.placer, a.launch.container());
+        l.launch = a.launch.launch();
+        l.ask = a.launch.ask();
+        l.text = "error";
+        fleet_.seen.add(l);
+        remember(a.name, a.incarnation, m, "");
+        return say(a.name, a.incarnation, m, faults_.late_yes);
+    }
+    fleet_.mark(now, group, a.launch.container(), zone_, cell_);
+    auto c = std::make_unique<Container>();
+    c->placer = a.placer;
+    c->name = a.name;
+    c->incarnation = a.incarnation;
+    c->launch = a.launch;
+    c->accepted = now;
+    // Containers use more or less than they asked: by the container, the same each time it comes.
+    c->use = 0.35 + 0.5 * static_cast<double>(planner::mark_of(a.launch.container()) % 997) / 997;
+    asked_cores_ += a.launch.cores();
+    asked_memory_ += a.launch.memory();
+    const bool lost = fleet_.luck(faults_.lose_answers);
+    Line l = line(What::accepted, a.placer, a.launch.container());
+    l.launch = a.launch.launch();
+    l.ask = a.launch.ask();
+    l.text = lost ? "and the yes was lost" : "";
+    fleet_.seen.add(l);
+    c->mute = lost;
+    if (!terms_.yes_on_running) {
+        v1::FromNode m;
+        m.mutable_accepted()->set_launch(a.launch.launch());
+        if (!c->mute) say(c->name, a.incarnation, m, faults_.late_yes);
+    }
+    to_start_.push_back(c.get());
+    containers_.push_back(std::move(c));
+    begin_starts();
+}
+
+void Node::begin_starts() {
+    const Nanos now = fleet_.loop.now();
+    while (starting_ < terms_.starts && !to_start_.empty()) {
+        Container& c = *to_start_.front();
+        to_start_.pop_front();
+        bool program = false;
+        for (const auto& other : containers_)
+            program = program || (other->running && other->launch.service() == c.launch.service());
+        if (const auto it = programs_.find(c.launch.service()); it != programs_.end())
+            program = program || now - it->second < terms_.program_kept;
+        const double work =
+            static_cast<double>(terms_.start) * (program ? 1 : terms_.without_program) * faults_.slow;
+        ++starting_;
+        c.starting = true;
+        c.starts = std::make_unique<Later>([this, &c] {
+            --starting_;
+            c.starting = false;
+            running(c);
+            begin_starts();
+        });
+        fleet_.arm(*c.starts, now + static_cast<Nanos>(work / pace(now)));
+    }
+}
+
+void Node::running(Container& c) {
+    c.running = true;
+    Line l = line(What::started, c.placer, c.launch.container());
+    l.launch = c.launch.launch();
+    l.group = static_cast<int>(c.launch.group());
+    fleet_.seen.add(l);
+    v1::FromNode m;
+    if (terms_.yes_on_running) {
+        m.mutable_accepted()->set_launch(c.launch.launch());
+        if (!c.mute) say(c.name, c.incarnation, m, faults_.late_yes);
+    }
+    m.mutable_running()->set_launch(c.launch.launch());
+    if (!c.mute) say(c.name, c.incarnation, m, faults_.late_yes);
+    const Nanos life = c.launch.life_left() > 0 ? c.launch.life_left() : 10 * kSecond;
+    c.ends = std::make_unique<Later>([this, &c] { end(c, v1::Ended::SERVED, v1::UNTOLD); });
+    fleet_.arm(*c.ends, fleet_.loop.now() + life);
+    use();
+}
+
+void Node::end(Container& c, v1::Ended::How how, v1::Reason why) {
+    const Nanos now = fleet_.loop.now();
+    asked_cores_ -= c.launch.cores();
+    asked_memory_ -= c.launch.memory();
+    if (c.starting) --starting_;
+    std::erase(to_start_, &c);
+    if (c.running) programs_[c.launch.service()] = now;
+    Line l = line(c.running ? What::finished : What::ended, c.placer, c.launch.container());
+    l.launch = c.launch.launch();
+    l.ask = c.launch.ask();
+    l.text = v1::Ended::How_Name(how);
+    fleet_.seen.add(l);
+    v1::FromNode m;
+    m.mutable_ended()->set_launch(c.launch.launch());
+    m.mutable_ended()->set_how(how);
+    m.mutable_ended()->set_reason(why);
+    *m.mutable_ended()->mutable_report() = report();
+    remember(c.name, c.incarnation, m, c.launch.container());
+    if (!c.mute) say(c.name, c.incarnation, m);
+    const auto it =
+        std::find_if(containers_.begin(), containers_.end(), [&c](const auto& p) { return p.get() == &c; });
+    containers_.erase(it);  // with the timer whose call this may be: it keeps its own copy
+    use();
+    begin_starts();
+}
+
+// ---------------------------------------------------------------- what it tells
+
+void Node::use() {
+    used_cores_ = used_memory_ = 0;
+    for (const auto& c : containers_)
+        if (c->running) {
+            used_cores_ += c->launch.cores() * c->use;
+            used_memory_ += c->launch.memory() * c->use;
+        }
+}
+
+v1::Report Node::report() {
+    const Nanos now = fleet_.loop.now();
+    if (now - reported_ >= terms_.report_every) {
+        reported_ = now;
+        report_.set_free_cores(terms_.cores - (terms_.reports_use ? used_cores_ : asked_cores_));
+        report_.set_free_memory(terms_.memory - (terms_.reports_use ? used_memory_ : asked_memory_));
+        report_.set_busy(std::min(1.0, used_cores_ * faults_.slow / terms_.cores));
+        report_.set_queued(static_cast<double>(line_.size() + to_start_.size()));
+    }
+    return report_;
+}
+
+void Node::notes() {
+    fleet_.arm(*noting_, fleet_.loop.now() + terms_.note_every);
+    if (faults_.silent) return;
+    const auto note = [this](const Container& c, v1::Note::Kind kind, double value) {
+        v1::FromNode m;
+        m.mutable_note()->set_launch(c.launch.launch());
+        m.mutable_note()->set_kind(kind);
+        m.mutable_note()->set_value(value);
+        say(c.name, c.incarnation, m);
+    };
+    const double busy = used_cores_ * faults_.slow / terms_.cores, memory = used_memory_ / terms_.memory;
+    while (used_memory_ > terms_.memory && !containers_.empty()) {
+        Container* lowest = nullptr;
+        const auto priority = [this](const Container& c) {
+            return fleet_.groups[c.launch.group()].terms.priority;
+        };
+        for (const auto& c : containers_)
+            if (c->running && (!lowest || priority(*c) < priority(*lowest))) lowest = c.get();
+        if (!lowest) break;
+        end(*lowest, v1::Ended::RESET, v1::EVICTED);
+    }
+    std::map<std::string, const Container*> worst;
+    for (const auto& c : containers_) {
+        if (!c->running || c->mute) continue;
+        note(*c, v1::Note::CORES, c->launch.cores() * c->use);
+        note(*c, v1::Note::MEMORY, c->launch.memory() * c->use);
+        worst.emplace(c->placer, c.get());
+    }
+    for (const auto& [placer, c] : worst) {
+        const QueueGroup& g = fleet_.groups[c->launch.group()].terms;
+        const double share = std::clamp(1 - (busy - g.calm) / std::max(g.fade, 0.01), 0.05, 1.0);
+        if (share < 0.95) note(*c, v1::Note::SERVED_SHARE, share);
+        if (memory > 0.85) note(*c, v1::Note::MACHINE_MEMORY, std::min(1.0, memory));
+    }
+}
+
+// ---------------------------------------------------------------- what happens to it
+
+void Node::drain(bool tell) {
+    draining_ = true;
+    if (!tell) return;
+    for (const auto& s : sessions_) {
+        v1::FromNode m;
+        m.mutable_draining();
+        s->send(m);
+        if (!faults_.silent) fleet_.seen.add(line(What::drain_said, s->placer, ""));
+    }
+}
+
+void Node::send_all_away() {
+    while (!containers_.empty()) end(*containers_.front(), v1::Ended::RESET, v1::SENT_AWAY);
+}
+
+void Node::set(const Faults& f) {
+    const bool was = faults_.silent;
+    faults_ = f;
+    if (was == f.silent) return;
+    for (const auto& s : sessions_)
+        if (s->stream) s->stream->read(!f.silent);
+}
+
+void Node::trouble(bool on) { fleet_.seen.add(line(on ? What::node_trouble : What::node_well, "", "")); }
+
+void Node::drop_connections() {
+    while (!sessions_.empty()) {
+        Session& s = *sessions_.back();
+        if (s.stream) s.stream->abort();
+        leave(s);
+    }
+}
+
+}  // namespace whinpost::standin
--- /dev/null
+++ b/standin/node.h
@@ -0,0 +1,178 @@
+// A node as the placer meets it: a line of asks judged one at a time, starts at a limited pace, warm-up,
+// programs kept, acceptance limits, repeats dropped by cell, zone or all, preemption, notes and reports; and
+// everything that can be wrong with one. It stands on the same interface of time and streams as the placer.
+#pragma once
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "net/net.h"
+#include "proto/node.pb.h"
+#include "standin/seen.h"
+#include "wheel/wheel.h"
+
+namespace whinpost::standin {
+
+struct NodeTerms {
+    double cores = 16, memory = 32;
+    double cores_multiple = 2.5, memory_multiple = 1.5;
+    bool yes_on_running = false, preempts = false, reports_use = false;
+    Nanos judge = 2 * kMillisecond;   // one ask
+    std::size_t line = 32;            // asks and probes that may wait
+    int starts = 4;                   // at a time
+    Nanos start = 20 * kMillisecond;  // with the program there, warm
+    double without_program = 5;       // times that
+    Nanos program_kept = 5 * kSecond;
+    double cold_from = 0.2;
+    Nanos warm_after = 10 * kSecond;
+    double fall_multiple = 2, always_borne = 8;  // offers within the window, while cold
+    Nanos fall_window = kSecond;
+    Nanos report_every = 200 * kMillisecond;
+    Nanos note_every = kSecond;
+    Nanos remembers = 60 * kSecond;
+};
+
+// The faults that a script can lay on a node. Shares are chances for each launch.
+struct Faults {
+    double slow = 1;          // times slower, while it still answers
+    double refuse = 0;        // refuses without a reason
+    double fail_starts = 0;   // answers with an error
+    double lose_answers = 0;  // accepts, and the yes never leaves
+    Nanos late_yes = 0;       // every answer leaves so much later
+    bool silent = false;      // reads nothing and says nothing; connections stay, new ones are never greeted
+    bool twice = false;       // says every yes twice
+};
+
+struct GroupTerms {
+    std::string name;
+    QueueGroup terms;
+};
+
+// What the nodes of a fleet share: the record, the marks by which repeats are known, and one wheel.
+class Fleet {
+public:
+    Fleet(net::Loop&, Seen&, std::vector<GroupTerms>, std::uint64_t seed);
+    net::Loop& loop;
+    Seen& seen;
+    std::vector<GroupTerms> groups;
+    std::ranlux24_base chance;
+
+    bool luck(double share) { return share > 0 && static_cast<double>(chance() % 4096) < share * 4096; }
+    void arm(wheel::Timer&, Nanos at);
+    // Fingerprinted containers: whether a copy stands, or stood within the window, in the group of places of
+    // this node.
+    bool repeat(Nanos now, int group, const std::string& container, int zone, int cell);
+    void mark(Nanos now, int group, const std::string& container, int zone, int cell);
+
+private:
+    void turn();
+    wheel::Wheel wheel_;
+    std::unique_ptr<net::Timer> tick_;
+    Nanos tick_at_ = 0;
+    std::map<std::string, Nanos> marks_;
+};
+
+// A call at a later time; gone with what it belongs to, which the call itself may destroy.
+class Later final : public wheel::Timer {
+public:
+    explicit Later(std::function<void()> f) : then(std::move(f)) {}
+    void due(Nanos) override {
+        const auto f = then;
+        f();
+    }
+    std::function<void()> then;
+};
+
+class Node {
+public:
+    // It listens on `on`; its own time runs on the fleet's loop, so a test may cut one host from the others.
+    Node(Fleet&, net::Loop& on, std::string name, int zone, int cell, NodeTerms, std::uint64_t incarnation,
+         Nanos warm_since);
+    ~Node();
+    // Empty, or why it can't listen.
+    std::string listen(const std::string& address);
+    std::string address() const { return listener_ ? listener_->address() : ""; }
+
+    const std::string& name() const { return name_; }
+    int zone() const { return zone_; }
+    int cell() const { return cell_; }
+    Nanos up_for(Nanos now) const { return started_ ? now - started_ : 0; }
+    double free_cores() const { return terms_.cores - asked_cores_; }
+    double free_memory() const { return terms_.memory - asked_memory_; }
+    double used_cores() const { return used_cores_; }
+    bool draining() const { return draining_; }
+    bool fallen() const { return fallen_; }
+    std::size_t containers() const { return containers_.size(); }
+    std::uint64_t launches() const { return launches_; }
+
+    void drain(bool tell);    // accepts nothing more; `tell` says so on its connections
+    void send_all_away();     // as a draining node that clears itself
+    void set(const Faults&);  // in force from now on
+    const Faults& faults() const { return faults_; }
+    void trouble(bool on);    // only recorded: the script has laid something on it from outside
+    void drop_connections();  // broken off, as by a reset on the way; new ones are taken
+
+private:
+    struct Session;
+    struct Container;
+    struct Asked;
+    void accept(std::unique_ptr<net::Stream>);
+    void leave(Session&);
+    void judge_next();
+    void judged();
+    void judge(Asked&);
+    void begin_starts();
+    void running(Container&);
+    void end(Container&, v1::Ended::How, v1::Reason);
+    void say(const std::string& placer, std::uint64_t incarnation, v1::FromNode, Nanos more = 0);
+    void remember(const std::string& placer, std::uint64_t incarnation, const v1::FromNode&,
+                  const std::string& container);
+    void refuse(const Asked&, v1::Reason);
+    void notes();
+    void pressure();
+    double pace(Nanos now) const;
+    v1::Report report();
+    void use();
+    bool make_room(const Asked&);
+    Line line(What, const std::string& placer, const std::string& container);
+
+    Fleet& fleet_;
+    net::Loop& on_;
+    std::string name_;
+    int zone_, cell_;
+    NodeTerms terms_;
+    std::uint64_t incarnation_;
+    Nanos started_;  // 0: long ago
+    std::unique_ptr<net::Listener> listener_;
+    std::vector<std::unique_ptr<Session>> sessions_, left_;
+    std::deque<std::unique_ptr<Asked>> line_;
+    std::list<std::unique_ptr<Container>> containers_;
+    std::deque<Container*> to_start_;
+    std::deque<Nanos> offers_;  // while cold, within the window
+    struct Told {
+        std::string placer;
+        std::uint64_t incarnation;
+        Nanos at;
+        v1::FromNode message;
+        std::string container;
+    };
+    std::deque<Told> ends_;
+    std::map<std::string, Nanos> programs_;  // when its last container ended
+    std::unique_ptr<Later> judging_, noting_, sweeping_;
+    std::list<std::unique_ptr<Later>> late_;
+    v1::Report report_;
+    Nanos reported_ = -kSecond;
+    Faults faults_;
+    int starting_ = 0;
+    double asked_cores_ = 0, asked_memory_ = 0, used_cores_ = 0, used_memory_ = 0;
+    bool draining_ = false, fallen_ = false, judging_now_ = false;
+    std::uint64_t launches_ = 0;
+};
+
+}  // namespace whinpost::standin
--- /dev/null
+++ b/standin/owner.cpp
@@ -0,0 +1,342 @@
+#include "standin/owner.h"
+
+#include <algorithm>
+
+namespace whinpost::standin {
+
+namespace {
+// How long owners wait before they ask again of themselves; a deferral may ask for more.
+constexpr Nanos kAgain = 1 * kSecond;
+// Where a launch may have run and a second would do harm: so long an owner looks whether it turns up.
+constexpr Nanos kSettle = 3 * kSecond;
+constexpr Nanos kRedial = 200 * kMillisecond;
+}  // namespace
+
+struct Owner::Task {
+    Ask ask;
+    Nanos due = 0, until = 0;  // of its first coming
+    std::uint64_t id = 0;      // of the present offer, 0: none
+    Session* at = nullptr;
+    std::string node;  // where it is placed
+    bool started = false, first = true, may_run = false;
+    std::unique_ptr<Later> later;
+};
+
+struct Owner::Session final : net::StreamUser {
+    Session(Owner& o, std::string a, std::size_t n) : owner(o), address(std::move(a)), number(n) {}
+    void dial() {
+        greeted = false;
+        stream = owner.fleet_.loop.dial(address, *this);
+    }
+    void connected() override {
+        v1::FromOwner m;
+        m.mutable_hello()->set_version(1);
+        m.mutable_hello()->set_name(owner.name_);
+        m.mutable_hello()->set_incarnation(1);
+        send(m);
+    }
+    std::size_t received(std::string_view in) override {
+        bool too_long = false;
+        return net::frames(in, 1 << 20, too_long, [this](std::string_view f) {
+            v1::ToOwner m;
+            if (!m.ParseFromArray(f.data(), static_cast<int>(f.size()))) return false;
+            owner.heard(*this, m);
+            return stream != nullptr;
+        });
+    }
+    void closed(net::Closed) override { owner.lost(*this); }
+    void send(const v1::FromOwner& m) {
+        if (!stream) return;
+        std::string frame;
+        net::append_frame(frame, m);
+        stream->write(frame);
+    }
+    Owner& owner;
+    std::string address;
+    std::size_t number;
+    std::unique_ptr<net::Stream> stream;
+    std::string placer;  // name#incarnation
+    bool greeted = false, away = false;
+    std::map<std::uint64_t, Task*> open;
+    std::vector<Task*> orphans;  // placed there when the connection was lost
+    std::unique_ptr<Later> redial;
+};
+
+Owner::Owner(Fleet& f, std::string name, std::vector<std::string> placers)
+    : fleet_(f), name_(std::move(name)), counts_(f.groups.size()) {
+    for (std::size_t i = 0; i < placers.size(); ++i)
+        sessions_.push_back(std::make_unique<Session>(*this, placers[i], i));
+}
+Owner::~Owner() = default;
+
+void Owner::connect() {
+    for (const auto& s : sessions_) s->dial();
+}
+
+bool Owner::connected(std::size_t placer) const { return sessions_[placer]->greeted; }
+
+Line Owner::line(What w, const Session& s, const Task& t) const {
+    Line l;
+    l.at = fleet_.loop.now();
+    l.what = w;
+    l.placer = s.placer;
+    l.container = t.ask.container;
+    l.service = t.ask.service;
+    l.group = t.ask.group;
+    l.until = t.until;
+    return l;
+}
+
+void Owner::ask(const Ask& a) {
+    auto& t = tasks_[a.container];
+    t = std::make_unique<Task>();
+    t->ask = a;
+    t->due = fleet_.loop.now();
+    t->until = t->due + a.queue_timeout;
+    ++counts_[static_cast<std::size_t>(a.group)].asked;
+    ++waiting_;
+    send(*t, false);
+}
+
+void Owner::send_later(Task& t, Nanos after) {
+    t.later = std::make_unique<Later>([this, &t] { send(t, true); });
+    fleet_.arm(*t.later, fleet_.loop.now() + after);
+}
+
+void Owner::send(Task& t, bool again) {
+    const Nanos now = fleet_.loop.now();
+    GroupCount& c = counts_[static_cast<std::size_t>(t.ask.group)];
+    if (t.first && now >= t.until) {  // its queue timeout: the owner has given up
+        ++c.never;
+        --waiting_;
+        tasks_.erase(t.ask.container);
+        return;
+    }
+    Session* s = nullptr;
+    for (std::size_t i = 0; i < sessions_.size() && !s; ++i) {
+        Session& next = *sessions_[turn_++ % sessions_.size()];
+        if (next.greeted) s = &next;
+    }
+    if (!s) return send_later(t, 100 * kMillisecond);
+    if (again) ++c.again;
+    t.id = next_id_++;
+    t.at = s;
+    t.may_run = false;
+    s->open[t.id] = &t;
+    v1::FromOwner m;
+    v1::Offer& o = *m.mutable_offer();
+    o.set_id(t.id);
+    o.set_container(t.ask.container);
+    o.set_service(t.ask.service);
+    o.set_group(fleet_.groups[static_cast<std::size_t>(t.ask.group)].name);
+    o.set_cores(t.ask.cores);
+    o.set_memory(t.ask.memory);
+    if (!t.first) t.until = now + t.ask.queue_timeout;  // one that was placed and lost has its time anew
+    o.set_time_left(t.until - now);
+    o.set_life_left(t.ask.life);
+    o.set_came_again(again);
+    Line l = line(What::offered, *s, t);
+    l.ask = t.id;
+    fleet_.seen.add(l);
+    s->send(m);
+}
+
+void Owner::heard(Session& s, const v1::ToOwner& m) {
+    const Nanos now = fleet_.loop.now();
+    if (m.has_hello()) {
+        s.placer = m.hello().name() + "#" + std::to_string(m.hello().incarnation());
+        s.greeted = true;
+        hand_over(s);
+        return;
+    }
+    const auto find = [&s](std::uint64_t id) -> Task* {
+        const auto it = s.open.find(id);
+        return it == s.open.end() ? nullptr : it->second;
+    };
+    const auto note = [&](What w, Task& t, std::string text = "") {
+        Line l = line(w, s, t);
+        l.ask = t.id;
+        l.text = std::move(text);
+        fleet_.seen.add(std::move(l));
+    };
+    const auto over = [&s](Task& t) {
+        s.open.erase(t.id);
+        t.id = 0;
+        t.at = nullptr;
+    };
+    if (m.has_taken()) {
+        if (Task* t = find(m.taken().id())) note(What::taken, *t);
+    } else if (m.has_placed()) {
+        Task* t = find(m.placed().id());
+        if (!t) return;
+        note(What::placed, *t, m.placed().node());
+        t->node = m.placed().node();
+        GroupCount& c = counts_[static_cast<std::size_t>(t->ask.group)];
+        if (t->first) {
+            ++c.placed;
+            --waiting_;
+            c.in_time +=
+                now - t->due <= fleet_.groups[static_cast<std::size_t>(t->ask.group)].terms.start_target;
+        }
+        t->first = false;
+    } else if (m.has_deferred()) {
+        Task* t = find(m.deferred().id());
+        if (!t) return;
+        note(What::deferred, *t, m.deferred().why());
+        ++counts_[static_cast<std::size_t>(t->ask.group)].deferred;
+        over(*t);
+        send_later(*t, std::max<Nanos>(m.deferred().stay_away(), kAgain));
+    } else if (m.has_killed()) {
+        Task* t = find(m.killed().id());
+        if (!t) return;
+        note(What::killed, *t, m.killed().why());
+        ++counts_[static_cast<std::size_t>(t->ask.group)].killed;
+        // It may run. What does no harm twice is asked for again; the rest waits to be found.
+        if (fleet_.groups[static_cast<std::size_t>(t->ask.group)].terms.effect == Effect::idempotent) {
+            over(*t);
+            send_later(*t, kAgain);
+        } else {
+            t->may_run = true;
+            t->later = std::make_unique<Later>([this, t] {
+                if (t->at) t->at->open.erase(t->id);
+                if (t->first) --waiting_;
+                ++counts_[static_cast<std::size_t>(t->ask.group)].never;
+                tasks_.erase(t->ask.container);
+            });
+            fleet_.arm(*t->later, now + kSettle);
+        }
+    } else if (m.has_found()) {
+        Task* t = find(m.found().id());
+        if (!t || !t->may_run) return;
+        // It runs where a launch was given up: the same placer is asked to look after it.
+        t->node = m.found().node();
+        t->later.reset();
+        over(*t);
+        if (t->first) --waiting_;
+        t->first = false;
+        t->may_run = false;
+        s.orphans.push_back(t);
+        hand_over(s);
+    } else if (m.has_over()) {
+        Task* t = find(m.over().id());
+        if (!t) return;
+        note(What::over, *t, v1::Over::How_Name(m.over().how()));
+        over(*t);
+        if (m.over().how() == v1::Over::SERVED || m.over().how() == v1::Over::STOPPED) {
+            tasks_.erase(t->ask.container);
+            return;
+        }
+        // Lost, moved or sent away: it is still wanted. One that must not run twice has run.
+        if (fleet_.groups[static_cast<std::size_t>(t->ask.group)].terms.effect == Effect::side_effecting &&
+            m.over().how() != v1::Over::MOVED) {
+            tasks_.erase(t->ask.container);
+            return;
+        }
+        send_later(*t, m.over().how() == v1::Over::MOVED  ? 50 * kMillisecond
+                       : m.over().how() == v1::Over::LOST ? kSettle
+                                                          : kAgain);
+    }
+}
+
+// The placer is gone, or only the connection. What had been placed runs on and is handed to the placer when
+// it is back; what waited is asked for again where that does no harm.
+void Owner::lost(Session& s) {
+    const bool was = s.greeted;
+    s.stream.reset();
+    s.greeted = false;
+    if (was) {
+        Line l;
+        l.at = fleet_.loop.now();
+        l.what = What::placer_lost;
+        l.placer = s.placer;
+        fleet_.seen.add(l);
+    }
+    std::vector<Task*> theirs;
+    for (const auto& [id, t] : s.open) theirs.push_back(t);
+    s.open.clear();
+    for (Task* t : theirs) {
+        t->id = 0;
+        t->at = nullptr;
+        if (!t->node.empty() && !t->first) {
+            s.orphans.push_back(t);
+            continue;
+        }
+        if (t->may_run) continue;  // its own clock runs
+        const bool harmless =
+            fleet_.groups[static_cast<std::size_t>(t->ask.group)].terms.effect == Effect::idempotent;
+        if (harmless) send_later(*t, kAgain);
+        else {
+            // Nobody knows whether it ran: it is left alone.
+            if (t->first) --waiting_;
+            ++counts_[static_cast<std::size_t>(t->ask.group)].never;
+            tasks_.erase(t->ask.container);
+        }
+    }
+    if (s.away) return;
+    s.redial = std::make_unique<Later>([&s] { s.dial(); });
+    fleet_.arm(*s.redial, fleet_.loop.now() + kRedial);
+}
+
+void Owner::hand_over(Session& s) {
+    std::vector<Task*> now_theirs;
+    now_theirs.swap(s.orphans);
+    for (Task* t : now_theirs) {
+        t->id = next_id_++;
+        t->at = &s;
+        s.open[t->id] = t;
+        v1::FromOwner m;
+        v1::Offer& o = *m.mutable_hand_over()->mutable_offer();
+        o.set_id(t->id);
+        o.set_container(t->ask.container);
+        o.set_service(t->ask.service);
+        o.set_group(fleet_.groups[static_cast<std::size_t>(t->ask.group)].name);
+        o.set_cores(t->ask.cores);
+        o.set_memory(t->ask.memory);
+        o.set_time_left(t->ask.queue_timeout);
+        o.set_life_left(t->ask.life);
+        m.mutable_hand_over()->set_node(t->node);
+        Line l = line(What::handed_over, s, *t);
+        l.ask = t->id;
+        l.node = t->node;
+        fleet_.seen.add(l);
+        s.send(m);
+    }
+}
+
+void Owner::withdraw_some(std::size_t count) {
+    for (const auto& s : sessions_)
+        for (auto it = s->open.begin(); it != s->open.end() && count > 0;) {
+            Task& t = *it->second;
+            if (!t.node.empty() || t.may_run) {
+                ++it;
+                continue;
+            }
+            v1::FromOwner m;
+            m.mutable_withdraw()->set_id(t.id);
+            s->send(m);
+            Line l = line(What::withdrawn, *s, t);
+            l.ask = t.id;
+            fleet_.seen.add(l);
+            it = s->open.erase(it);
+            --waiting_;
+            --count;
+            tasks_.erase(t.ask.container);
+        }
+}
+
+void Owner::leave(std::size_t placer) {
+    Session& s = *sessions_[placer];
+    s.away = left_ = true;
+    s.stream.reset();
+    lost(s);
+}
+
+void Owner::half_message(std::size_t placer) {
+    if (sessions_[placer]->stream) sessions_[placer]->stream->write(std::string("\0\0\1\0\x0a", 5));
+}
+
+void Owner::read(std::size_t placer, bool on) {
+    if (sessions_[placer]->stream) sessions_[placer]->stream->read(on);
+}
+
+}  // namespace whinpost::standin
