--- /dev/null
+++ b/standin/owner.h
@@ -0,0 +1,66 @@
+// Owners: they ask for containers, follow what is said of each, ask again as their queue group allows, hand
+// over to a restarted placer what it had placed, and record every word.
+#pragma once
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "net/net.h"
+#include "proto/owner.pb.h"
+#include "standin/node.h"
+#include "standin/seen.h"
+#include "wheel/wheel.h"
+
+namespace whinpost::standin {
+
+struct Ask {
+    std::string container, service;
+    int group = 0;
+    double cores = 1, memory = 1;
+    Nanos queue_timeout = 5 * kSecond, life = 10 * kSecond;
+};
+
+struct GroupCount {
+    std::uint64_t asked = 0, placed = 0, deferred = 0, killed = 0, in_time = 0, again = 0, never = 0;
+};
+
+class Owner {
+public:
+    // One of several that share the placers in turn.
+    Owner(Fleet&, std::string name, std::vector<std::string> placers);
+    ~Owner();
+    void connect();
+    void ask(const Ask&);  // due now: the start target runs from here
+    void withdraw_some(std::size_t count);
+    void leave(std::size_t placer);         // closes its connection with all that waits there
+    void half_message(std::size_t placer);  // sends half of one, and nothing more, ever
+    void read(std::size_t placer, bool on);
+    bool left() const { return left_; }
+    std::size_t waiting() const { return waiting_; }
+    const std::vector<GroupCount>& counts() const { return counts_; }
+    bool connected(std::size_t placer) const;
+
+private:
+    struct Session;
+    struct Task;
+    void send(Task&, bool again);
+    void send_later(Task&, Nanos after);
+    void heard(Session&, const v1::ToOwner&);
+    void lost(Session&);
+    void hand_over(Session&);
+    Line line(What, const Session&, const Task&) const;
+
+    Fleet& fleet_;
+    std::string name_;
+    std::vector<std::unique_ptr<Session>> sessions_;
+    std::map<std::string, std::unique_ptr<Task>> tasks_;
+    std::vector<GroupCount> counts_;
+    std::uint64_t next_id_ = 1;
+    bool left_ = false;
+    std::size_t turn_ = 0, waiting_ = 0;
+};
+
+}  // namespace whinpost::standin
--- /dev/null
+++ b/standin/seen.cpp
@@ -0,0 +1,36 @@
+#include "standin/seen.h"
+
+#include <cstdio>
+
+namespace whinpost::standin {
+
+const char* words(What w) {
+    static const char* const kWords[] = {"launch read",    "stop read",       "said accepted",
+                                         "said refused",   "said ended",      "began to run",
+                                         "runs no more",   "said drains",     "fell over",
+                                         "trouble begins", "trouble ends",    "connection lost",
+                                         "listed serving", "listed draining", "listed gone",
+                                         "offered",        "handed over",     "taken",
+                                         "placed",         "deferred",        "killed",
+                                         "over",           "withdrawn",       "placer lost",
+                                         "placer killed",  "placer stalled",  "placer well"};
+    return kWords[static_cast<std::size_t>(w)];
+}
+
+std::string show(const Line& l, Nanos start) {
+    char at[32];
+    std::snprintf(at, sizeof at, "%10.4f s  ", static_cast<double>(l.at - start) / 1e9);
+    std::string out = std::string(at) + words(l.what);
+    const auto field = [&out](const char* key, const std::string& v) {
+        if (!v.empty()) out += std::string(" ") + key + "=" + v;
+    };
+    field("placer", l.placer);
+    field("node", l.node);
+    field("container", l.container);
+    if (l.ask) field("ask", std::to_string(l.ask));
+    if (l.launch) field("launch", std::to_string(l.launch));
+    field("", l.text);
+    return out;
+}
+
+}  // namespace whinpost::standin
--- a/test.sh
+++ b/test.sh
@@ -1,9 +1,12 @@
 #!/usr/bin/env bash
-# Builds with warnings as errors and the sanitizers, and runs all tests; then checks the operators' plain build.
+# Installs what is missing, builds with warnings as errors and the sanitizers, runs all tests and a few seconds of each
+# fuzz target; checks the operators' plain build, which needs no library.
 set -euo pipefail
 cd "$(dirname "$0")"
+./setup.sh
 cmake -B build-plain -DCMAKE_BUILD_TYPE=Release -DWHINPOST_STRICT=ON
 cmake --build build-plain -j4
-cmake -B build-test -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS=-O1 -DWHINPOST_TESTS=ON -DWHINPOST_STRICT=ON -DWHINPOST_SANITIZE=ON
-cmake --build build-test -j4
-ctest --test-dir build-test --output-on-failure
+cmake -G Ninja -B build-test -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS=-O1 -DWHINPOST_TESTS=ON -DWHINPOST_PROGRAM=ON \
+    -DWHINPOST_STRICT=ON -DWHINPOST_SANITIZE=ON
+cmake --build build-test
+ctest --test-dir build-test --output-on-failure -j4
