--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -1,14 +1,14 @@
-// Open-loop load on one real placer over loopback sockets, with nodes that cost next to nothing: what a placing takes.
-// Latency counts from when a container was due, not from when it was sent. Not a test: nothing here has a verdict.
-#include <CLI/CLI.hpp>
-
-#include <boost/histogram.hpp>
+// Open-loop load on one real placer over loopback sockets, with nodes that cost next to nothing: what a
+// placing takes. Latency counts from when a container was due, not from when it was sent. Not a test: nothing
+// here has a verdict.
 #include <fcntl.h>
 #include <signal.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <CLI/CLI.hpp>
 #include <algorithm>
+#include <boost/histogram.hpp>
 #include <cmath>
 #include <cstdio>
 #include <deque>
@@ -33,8 +33,10 @@
 // Microseconds, 1 to 10 s, a hundred buckets for each power of ten: 2.3% wide.
 class Latency {
 public:
-    Latency() : h_(boost::histogram::make_histogram(boost::histogram::axis::regular<
-                    double, boost::histogram::axis::transform::log>(700, 1, 1e7))) {}
+    Latency()
+        : h_(boost::histogram::make_histogram(
+              boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>(700, 1, 1e7))) {
+    }
     void add(Nanos d) {
         h_(std::max(1.0, static_cast<double>(d) / 1e3));
         ++count_;
@@ -105,9 +107,9 @@
     std::ranlux24_base chance{7};
     Nanos begun = 0, next_due = 0;
     std::uint64_t next_id = 1, offered = 0, placed = 0, deferred = 0, killed = 0, launches = 0;
-    std::unordered_map<std::uint64_t, Nanos> due;       // by id
+    std::unordered_map<std::uint64_t, Nanos> due;        // by id
     std::unordered_map<std::string, std::uint64_t> ids;  // by container, until the first launch
-    std::unordered_map<std::uint64_t, Nanos> yes;       // by id: when the node said so
+    std::unordered_map<std::uint64_t, Nanos> yes;        // by id: when the node said so
     struct Ending {
         Nanos at;
         LightNode* node;
@@ -314,7 +316,8 @@
     Rig rig;
     std::size_t nodes = 100;
     double seconds = 10, warm = 2;
-    std::string program = (std::filesystem::path(argv[0]).parent_path() / "../apps/whinpost").string(), log = "off";
+    std::string program = (std::filesystem::path(argv[0]).parent_path() / "../apps/whinpost").string(),
+                log = "off";
     app.add_option("--rate", rig.rate, "Containers a second")->capture_default_str();
     app.add_option("--nodes", nodes)->capture_default_str();
     app.add_option("--seconds", seconds)->capture_default_str();
@@ -352,17 +355,19 @@
         },
         error);
     {
-        const auto port = rig.loop.listen("127.0.0.1:0", [](std::unique_ptr<net::Stream>) {}, error);
+        const auto port = rig.loop.listen(
+            "127.0.0.1:0", [](std::unique_ptr<net::Stream>) {}, error);
         rig.placer = port->address();
     }
     char file[] = "/tmp/whinpost-load-XXXXXX";
     close(mkstemp(file));
-    std::ofstream(file) << "[placer]\nname = \"load\"\nlisten = \"" << rig.placer << "\"\nzone = \"z\"\nzones = [\"z\"]\n"
-                        << "[list]\naddress = \"" << rig.list->address() << "\"\n[log]\nlevel = \"" << log << "\"\n"
-                        << "[acceptance]\ncores_multiple = 1000\nmemory_multiple = 1000\n"
-                        << "[intake]\nwaiting = 1000000\nwaiting_an_owner = 1000000\na_second = 1000000\n"
-                        << "[[machine_kind]]\nname = \"m\"\ncores = 100000\nmemory = 100000\n"
-                        << "[[queue_group]]\nname = \"load\"\neffect = \"idempotent\"\nstart_target_ms = 800\n";
+    std::ofstream(file)
+        << "[placer]\nname = \"load\"\nlisten = \"" << rig.placer << "\"\nzone = \"z\"\nzones = [\"z\"]\n"
+        << "[list]\naddress = \"" << rig.list->address() << "\"\n[log]\nlevel = \"" << log << "\"\n"
+        << "[acceptance]\ncores_multiple = 1000\nmemory_multiple = 1000\n"
+        << "[intake]\nwaiting = 1000000\nwaiting_an_owner = 1000000\na_second = 1000000\n"
+        << "[[machine_kind]]\nname = \"m\"\ncores = 100000\nmemory = 100000\n"
+        << "[[queue_group]]\nname = \"load\"\neffect = \"idempotent\"\nstart_target_ms = 800\n";
     rig.child = fork();
     if (rig.child == 0) {
         for (int fd = 3; fd < 65536; ++fd) close(fd);
@@ -376,8 +381,10 @@
     int status = 0;
     waitpid(rig.child, &status, 0);
     unlink(file);
-    std::printf("%.0f containers a second on %zu nodes for %.0f s, the first %.0f not counted; life %.1f s, %d services\n",
-                rig.rate, nodes, seconds, warm, rig.life_s, rig.services);
+    std::printf(
+        "%.0f containers a second on %zu nodes for %.0f s, the first %.0f not counted; life %.1f s, %d "
+        "services\n",
+        rig.rate, nodes, seconds, warm, rig.life_s, rig.services);
     std::printf("offered %llu, placed %llu, deferred %llu, killed %llu, launches %llu\n",
                 static_cast<unsigned long long>(rig.offered), static_cast<unsigned long long>(rig.placed),
                 static_cast<unsigned long long>(rig.deferred), static_cast<unsigned long long>(rig.killed),
--- a/bench/micro.cpp
+++ b/bench/micro.cpp
@@ -1,5 +1,5 @@
-// Micro-benchmarks. The wheel beside an ordered map of deadlines and libevent's timers: arm, then take back, as nearly
-// every deadline of a placer is.
+// Micro-benchmarks. The wheel beside an ordered map of deadlines and libevent's timers: arm, then take back,
+// as nearly every deadline of a placer is.
 #include <benchmark/benchmark.h>
 #include <event2/event.h>
 
@@ -22,7 +22,8 @@
     int fired = 0;
 };
 
-// Standing timers, so many; each step moves one: taken back and armed anew, 1 ms to 10 s ahead, 1 us of time passing.
+// Standing timers, so many; each step moves one: taken back and armed anew, 1 ms to 10 s ahead, 1 us of time
+// passing.
 std::vector<Nanos> spans() {
     std::ranlux24_base chance(3);
     std::vector<Nanos> out(4096);
@@ -74,7 +75,8 @@
     event_base* base = event_base_new();
     std::vector<event*> all(n);
     for (std::size_t i = 0; i < n; ++i) {
-        all[i] = event_new(base, -1, EV_TIMEOUT, [](evutil_socket_t, short, void*) {}, nullptr);
+        all[i] = event_new(
+            base, -1, EV_TIMEOUT, [](evutil_socket_t, short, void*) {}, nullptr);
         const timeval t{span[i % 4096] / kSecond, span[i % 4096] % kSecond / kMicrosecond};
         event_add(all[i], &t);
     }
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -305,6 +305,8 @@
     std::vector<Held*> theirs;
     for (auto& [number, h] : held_)
         if (h->owner == &s) theirs.push_back(h.get());
+    std::sort(theirs.begin(), theirs.end(),
+              [](const Held* a, const Held* b) { return a->record->number < b->record->number; });
     log_(Level::info, "owner_left", {{"owner", s.name()}, {"containers", theirs.size()}});
     for (Held* h : theirs) {
         if (h->waiting) {
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -144,7 +144,8 @@
     std::unique_ptr<net::Timer> tick_, round_, close_timer_;
     Nanos tick_at_ = 0, round_at_ = 0, last_round_ = 0, wake_at_ = 0;
     std::deque<std::function<void()>> later_;
-    std::map<std::uint64_t, std::unique_ptr<Held>> held_;  // by the ledger's number
+    std::unordered_map<std::uint64_t, std::unique_ptr<Held>>
+        held_;  // by the ledger's number; walked in order only
     std::unordered_map<std::uint64_t, ledger::Launch*> launches_;
     std::unique_ptr<OwnerDoor> owners_;
     std::unique_ptr<NodeDoor> nodes_;
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -63,6 +63,7 @@
     bool taken_over = false;   // never sent by this placer
     bool may_have_run = true;  // known only once it is over: false where its end proves that it never ran
     Ending ending = Ending::unknown;
+    std::size_t at = SIZE_MAX;  // the link's own: its place among those that are out
 };
 
 // One container of one ask.
@@ -134,10 +135,6 @@
     Tally& tally() { return tally_; }
     const std::vector<QueueGroup>& groups() const { return groups_; }
     std::size_t open() const { return records_.size(); }
-    template <class F>
-    void each(F f) {
-        for (auto& [number, r] : records_) f(r);
-    }
 
 protected:
     const Launch* first_maybe(const Record&) const;  // the first launch that may have run, over or still out
@@ -151,7 +148,7 @@
     LaunchTerms terms_;
     ColdTerms cold_;
     std::map<std::string, Node, std::less<>> nodes_;
-    std::map<std::uint64_t, Record> records_;  // ordered: what walks them acts the same way each time
+    std::unordered_map<std::uint64_t, Record> records_;  // looked up, never walked
     struct Standing {
         Node* node;
         int count;
--- a/src/link/link.cpp
+++ b/src/link/link.cpp
@@ -122,12 +122,31 @@
             wire_.over(now, l, Ending::unsent);
             continue;
         }
-        out_[l.number] = &l;
+        add_out(l);
         wire_.write(*this, l);
         unreceived_.push_back({&l, wire_.written(*this)});
     }
 }
 
+void Link::add_out(ledger::Launch& l) {
+    l.at = out_.size();
+    out_.push_back(&l);
+}
+
+void Link::drop_out(ledger::Launch& l) {
+    if (l.at >= out_.size() || out_[l.at] != &l) return;
+    out_[l.at] = out_.back();
+    out_[l.at]->at = l.at;
+    out_.pop_back();
+    l.at = SIZE_MAX;
+}
+
+std::vector<ledger::Launch*> Link::in_order() const {
+    std::vector<ledger::Launch*> all = out_;
+    std::sort(all.begin(), all.end(), [](const auto* a, const auto* b) { return a->number < b->number; });
+    return all;
+}
+
 bool Link::take_back(ledger::Launch& l) {
     const auto it = std::find(queue_.begin(), queue_.end(), &l);
     if (it == queue_.end()) return false;
@@ -136,14 +155,14 @@
 }
 
 void Link::forget(ledger::Launch& l) {
-    out_.erase(l.number);
-    std::erase(queue_, &l);
+    drop_out(l);
+    if (!queue_.empty()) std::erase(queue_, &l);
     for (Written& w : unreceived_)
         if (w.launch == &l) w.launch = nullptr;
 }
 
 void Link::adopt(ledger::Launch& l) {
-    out_[l.number] = &l;
+    add_out(l);
     if (state_ == State::up) wire_.ask_after(*this, l);
 }
 
@@ -203,7 +222,7 @@
             continue;
         }
         ledger::Launch& l = *w.launch;
-        out_.erase(l.number);
+        drop_out(l);
         ++counts_.proven_unsent;
         wire_.over(now, l, Ending::unsent);
     }
@@ -226,9 +245,10 @@
 }
 
 void Link::lose_all(Nanos now) {
-    std::map<std::uint64_t, ledger::Launch*> lost;
-    lost.swap(out_);
-    for (auto& [number, l] : lost) wire_.over(now, *l, Ending::reset);
+    for (ledger::Launch* l : in_order()) {
+        drop_out(*l);
+        wire_.over(now, *l, Ending::reset);
+    }
 }
 
 void Link::greeted(Nanos now, std::uint64_t incarnation, const std::vector<std::uint64_t>& holds,
@@ -248,15 +268,15 @@
         // One that was written to it and is not held was never taken, if the node would still remember its
         // end. One that was taken over may stand there under another placer's name for it.
         std::vector<ledger::Launch*> unnamed;
-        for (auto& [number, l] : out_)
-            if (std::find(holds.begin(), holds.end(), number) == holds.end()) unnamed.push_back(l);
+        for (ledger::Launch* l : in_order())
+            if (std::find(holds.begin(), holds.end(), l->number) == holds.end()) unnamed.push_back(l);
         const bool certain = same && broken_at_ && now - broken_at_ < remembers;
         for (ledger::Launch* l : unnamed) {
             if (l->taken_over) {
                 wire_.ask_after(*this, *l);
                 continue;
             }
-            out_.erase(l->number);
+            drop_out(*l);
             ++counts_.cleared_up;
             wire_.over(now, *l, certain && !l->accepted ? Ending::unsent : Ending::reset);
         }
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -11,7 +11,6 @@
 #pragma once
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <random>
 #include <string>
 #include <vector>
@@ -129,6 +128,9 @@
         ledger::Launch* launch;  // null: over
         std::uint64_t end;       // offset of the byte after its last
     };
+    void add_out(ledger::Launch&);
+    void drop_out(ledger::Launch&);
+    std::vector<ledger::Launch*> in_order() const;  // what is out, by number
     void try_dial(Nanos now);
     void pump(Nanos now);
     void pause(Nanos now);
@@ -143,9 +145,9 @@
     std::ranlux24_base chance_;
     State state_ = State::idle;
     bool wanted_ = false;
-    std::deque<ledger::Launch*> queue_;             // not written yet: can be taken back
-    std::deque<Written> unreceived_;                // on the present connection, in their order
-    std::map<std::uint64_t, ledger::Launch*> out_;  // written on any connection, or adopted, and not over
+    std::deque<ledger::Launch*> queue_;  // not written yet: can be taken back
+    std::deque<Written> unreceived_;     // on the present connection, in their order
+    std::vector<ledger::Launch*> out_;   // written on any connection, or adopted, and not over; in no order
     std::uint64_t incarnation_ = 0, received_ = 0;
     Nanos state_since_ = 0, heard_at_ = 0, asked_at_ = 0, broken_at_ = 0, dial_at_ = 0, pause_ = 0,
           cut_at_ = 0;
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -15,6 +15,7 @@
 #include <cstdio>
 #include <cstring>
 #include <stdexcept>
+#include <utility>
 
 namespace whinpost::net {
 
@@ -89,14 +90,16 @@
 
 class EventStream final : public Stream {
 public:
-    EventStream(event_base* base, evutil_socket_t fd)
-        : bev_(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE)) {
+    EventStream(EventLoop& loop, evutil_socket_t fd)
+        : loop_(loop), bev_(bufferevent_socket_new(loop.base(), fd, BEV_OPT_CLOSE_ON_FREE)) {
         if (!bev_) throw std::runtime_error("no memory for a stream");
         bufferevent_set_max_single_read(bev_, kReadAtOnce);
         if (fd >= 0) no_delay();
     }
     ~EventStream() override {
         if (gone_) *gone_ = true;
+        loop_.forget(*this);
+        if (!lot_.empty() && !aborted_) send_lot();  // what the kernel takes now still goes out
         if (late_) event_free(late_);
         bufferevent_free(bev_);
     }
@@ -131,17 +134,35 @@
         event_add(late_, &soon);
     }
 
+    // What is written in one pass leaves in one call at its end. Left to the bufferevent alone, each write
+    // would cost two more calls to change what is waited for, and a turn of the loop; it takes over where the
+    // kernel takes no more.
     void write(std::string_view bytes) override {
         written_ += bytes.size();
-        bufferevent_write(bev_, bytes.data(), bytes.size());
+        if (dialling_ || aborted_ || evbuffer_get_length(bufferevent_get_output(bev_)) > 0) {
+            bufferevent_write(bev_, bytes.data(), bytes.size());
+            return;
+        }
+        if (lot_.empty()) loop_.flush_later(*this);
+        lot_ += bytes;
+    }
+    void flush() {
+        send_lot();
+        if (!lot_.empty()) {
+            bufferevent_write(bev_, lot_.data(), lot_.size());
+            lot_.clear();
+        } else if (user_) user_->drained();  // may destroy this
+    }
+    std::size_t unsent() const override {
+        return lot_.size() + evbuffer_get_length(bufferevent_get_output(bev_));
     }
-    std::size_t unsent() const override { return evbuffer_get_length(bufferevent_get_output(bev_)); }
     std::uint64_t handed() const override { return written_ - unsent(); }
     void read(bool on) override {
         if (on) bufferevent_enable(bev_, EV_READ);
         else bufferevent_disable(bev_, EV_READ);
     }
     void abort() override {
+        aborted_ = true;
         const evutil_socket_t fd = bufferevent_getfd(bev_);
         const linger at_once{1, 0};
         if (fd >= 0) setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
@@ -157,6 +178,13 @@
     }
 
 private:
+    void send_lot() {
+        const evutil_socket_t fd = bufferevent_getfd(bev_);
+        if (fd < 0) return;
+        const ssize_t n = send(fd, lot_.data(), lot_.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        // An error shows again to the bufferevent, which tells the user in its own time.
+        if (n > 0) lot_.erase(0, static_cast<std::size_t>(n));
+    }
     void no_delay() {
         const int on = 1;
         setsockopt(bufferevent_getfd(bev_), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -188,7 +216,10 @@
         else if (what & (BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) s->user_->closed(Closed::reset);
     }
 
+    EventLoop& loop_;
     bufferevent* bev_;
+    std::string lot_;  // of this pass
+    bool aborted_ = false;
     StreamUser* user_ = nullptr;
     event* late_ = nullptr;
     Closed failed_ = Closed::refused;
@@ -199,8 +230,8 @@
 
 class EventListener final : public Listener {
 public:
-    EventListener(event_base* base, std::function<void(std::unique_ptr<Stream>)> then)
-        : base_(base), then_(std::move(then)) {}
+    EventListener(EventLoop& loop, std::function<void(std::unique_ptr<Stream>)> then)
+        : loop_(loop), then_(std::move(then)) {}
     ~EventListener() override {
         if (again_) event_free(again_);
         if (listener_) evconnlistener_free(listener_);
@@ -213,14 +244,14 @@
             return false;
         }
         listener_ =
-            evconnlistener_new_bind(base_, &on_accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 1024,
-                                    reinterpret_cast<sockaddr*>(&at), length);
+            evconnlistener_new_bind(loop_.base(), &on_accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                    1024, reinterpret_cast<sockaddr*>(&at), length);
         if (!listener_) {
             error = std::strerror(errno);
             return false;
         }
         again_ = event_new(
-            base_, -1, EV_TIMEOUT,
+            loop_.base(), -1, EV_TIMEOUT,
             [](evutil_socket_t, short, void* self) {
                 evconnlistener_enable(static_cast<EventListener*>(self)->listener_);
             },
@@ -244,9 +275,9 @@
 private:
     static void on_accept(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
         auto* l = static_cast<EventListener*>(self);
-        l->then_(std::make_unique<EventStream>(l->base_, fd));
+        l->then_(std::make_unique<EventStream>(l->loop_, fd));
     }
-    event_base* base_;
+    EventLoop& loop_;
     std::function<void(std::unique_ptr<Stream>)> then_;
     evconnlistener* listener_ = nullptr;
     event* again_ = nullptr;
@@ -289,9 +320,13 @@
     base_ = event_base_new_with_config(with);
     event_config_free(with);
     if (!base_) throw std::runtime_error("no event loop can be had from the system");
+    flush_ = event_new(
+        base_, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<EventLoop*>(self)->flush(); },
+        this);
 }
 EventLoop::~EventLoop() {
     signals_.clear();
+    event_free(flush_);
     event_base_free(base_);
 }
 
@@ -300,13 +335,13 @@
 std::unique_ptr<Listener> EventLoop::listen(const std::string& address,
                                             std::function<void(std::unique_ptr<Stream>)> then,
                                             std::string& error) {
-    auto l = std::make_unique<EventListener>(base_, std::move(then));
+    auto l = std::make_unique<EventListener>(*this, std::move(then));
     if (!l->open(address, error)) return nullptr;
     return l;
 }
 
 std::unique_ptr<Stream> EventLoop::dial(const std::string& address, StreamUser& user) {
-    auto s = std::make_unique<EventStream>(base_, -1);
+    auto s = std::make_unique<EventStream>(*this, -1);
     s->use(user);
     s->dial(base_, address);
     return s;
@@ -328,6 +363,25 @@
     signals_.push_back(std::move(s));
 }
 
+void EventLoop::flush_later(Stream& s) {
+    if (dirty_.empty()) event_active(flush_, EV_TIMEOUT, 0);  // behind what is active already in this pass
+    dirty_.push_back(&s);
+}
+
+void EventLoop::forget(Stream& s) {
+    for (Stream*& d : dirty_)
+        if (d == &s) d = nullptr;
+    for (Stream*& d : flushing_)
+        if (d == &s) d = nullptr;
+}
+
+void EventLoop::flush() {
+    flushing_.swap(dirty_);
+    for (std::size_t i = 0; i < flushing_.size(); ++i)
+        if (Stream* const s = std::exchange(flushing_[i], nullptr)) static_cast<EventStream*>(s)->flush();
+    flushing_.clear();
+}
+
 void EventLoop::run() { event_base_loop(base_, EVLOOP_NO_EXIT_ON_EMPTY); }
 void EventLoop::stop() { event_base_loopbreak(base_); }
 
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -5,6 +5,7 @@
 #include "net/net.h"
 
 struct event_base;
+struct event;
 
 namespace whinpost::net {
 
@@ -25,9 +26,16 @@
     void on_signal(int signal, std::function<void()> then);
     event_base* base() { return base_; }
 
+    // For its streams: one that has written in this pass, and one that is destroyed.
+    void flush_later(Stream&);
+    void forget(Stream&);
+
 private:
     struct Signal;
+    void flush();
     event_base* base_;
+    event* flush_ = nullptr;
+    std::vector<Stream*> dirty_, flushing_;  // a destroyed one leaves a null
     Nanos offset_;  // from the monotonic clock to the time of day, taken once: all placers of a fleet cut the
                     // time into the same turns, and a clock that is set later moves nothing
     std::vector<std::unique_ptr<Signal>> signals_;
--- a/standin/day.h
+++ b/standin/day.h
@@ -74,7 +74,7 @@
     std::vector<Fault> faults;
     Nanos drain_grace = kSecond;
     Nanos slack = 50 * kMillisecond;  // the checker's; on a busy machine's sockets more is needed
-    std::string placer_tables;  // TOML: what all placers' files have in common
+    std::string placer_tables;        // TOML: what all placers' files have in common
 };
 
 // Empty problems: the plan can be played.
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,9 +1,8 @@
 // The loop on real sockets: what its contract says and the simulated one is held to as well.
-#include <catch2/catch.hpp>
-
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <catch2/catch.hpp>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -106,7 +105,8 @@
         CHECK(far.how == net::Closed::by_peer);
         CHECK(far.got.ends_with("last"));
     }
-    SECTION("a peer that does not read: what the kernel does not take stays countable, and an abort drops it") {
+    SECTION(
+        "a peer that does not read: what the kernel does not take stays countable, and an abort drops it") {
         far.stream->read(false);
         for (int i = 0; i < 200; ++i) near.stream->write(std::string(64 << 10, 'x'));
         bool waited = false;
@@ -122,15 +122,18 @@
     }
 }
 
-TEST_CASE("a dial that nobody answers is told as refused, and an address that is taken can't be listened on") {
+TEST_CASE(
+    "a dial that nobody answers is told as refused, and an address that is taken can't be listened on") {
     Ground g(GENERATE(true, false));
     End near;
     std::string error;
     std::string address;
     {
-        const auto gone = g.far().listen(g.any(), [](std::unique_ptr<net::Stream>) {}, error);
+        const auto gone = g.far().listen(
+            g.any(), [](std::unique_ptr<net::Stream>) {}, error);
         address = gone->address();
-        CHECK(g.far().listen(address, [](std::unique_ptr<net::Stream>) {}, error) == nullptr);
+        CHECK(g.far().listen(
+                  address, [](std::unique_ptr<net::Stream>) {}, error) == nullptr);
         CHECK(error == "Address already in use");
     }
     near.stream = g.near().dial(address, near);
@@ -142,7 +145,8 @@
 TEST_CASE("timers come in their order, can be moved and taken back") {
     Ground g(GENERATE(true, false));
     std::vector<int> order;
-    const auto a = g.near().timer([&] { order.push_back(1); }), b = g.near().timer([&] { order.push_back(2); }),
+    const auto a = g.near().timer([&] { order.push_back(1); }),
+               b = g.near().timer([&] { order.push_back(2); }),
                c = g.near().timer([&] { order.push_back(3); });
     const Nanos now = g.near().now();
     a->arm(now + 30 * kMillisecond);
@@ -165,7 +169,8 @@
             loop.use(*served.stream, served);
         },
         error);
-    first.stream = loop.dial(listener->address(), first);  // its descriptor is had; the accepting side's will not be
+    first.stream =
+        loop.dial(listener->address(), first);  // its descriptor is had; the accepting side's will not be
     rlimit before{}, none{};
     getrlimit(RLIMIT_NOFILE, &before);
     const int next = dup(0);
