--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "lab/sim_ground.h"
+#include "quiet_planner.h"
 
 using namespace whinpost;
 using standin::Breach;
@@ -25,27 +26,12 @@
 enum class Does { binds_twice, ignores_drains, floods_the_cold, crowds, says_nothing };
 
 // Binds whatever comes at once, by its one bad habit.
-struct Rogue final : planner::Planning {
+struct Rogue final : QuietPlanner {
     Rogue(edge::Edge& e, Does d) : edge(e), does(d) {}
     void node(Nanos, planner::NodeNumber n, std::uint64_t, const Listed& l) override {
         if (known.size() <= n) known.resize(n + 1);
         known[n] = l;
     }
-    void list_done(Nanos, bool) override {}
-    void list_failed(Nanos) override {}
-    void begin(Nanos) override {}
-    void take(Nanos, planner::ContainerNumber c, std::uint64_t, const Asked&) override { taken.push_back(c); }
-    void take_over(Nanos, planner::ContainerNumber, std::uint64_t, const Asked&,
-                   planner::NodeNumber) override {}
-    void accepted(Nanos, planner::ContainerNumber, int) override {}
-    void runs(Nanos, planner::ContainerNumber, int) override {}
-    void uses_cores(Nanos, planner::ContainerNumber, int, double) override {}
-    void uses_memory(Nanos, planner::ContainerNumber, int, double) override {}
-    void served_share(Nanos, planner::ContainerNumber, int, double) override {}
-    void machine_memory(Nanos, planner::ContainerNumber, int, double) override {}
-    void ended(Nanos, planner::ContainerNumber, int, Ending, Reason, bool, const Report&) override {}
-    void withdrawn(Nanos, planner::ContainerNumber) override {}
-    void heard(Nanos, planner::NodeNumber, const Report&) override {}
     void round(Nanos) override {
         if (known.empty()) return;
         for (const planner::ContainerNumber c : std::exchange(taken, {})) {
@@ -63,7 +49,6 @@
     edge::Edge& edge;
     Does does;
     std::vector<Listed> known;
-    std::vector<planner::ContainerNumber> taken;
     planner::NodeNumber turn = 0;
 };
 
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -1,6 +1,7 @@
 // What goes wrong between a placer and its peers, each caused on purpose, in virtual time.
 #include <catch2/catch.hpp>
 
+#include "quiet_planner.h"
 #include "rig.h"
 
 using namespace whinpost;
@@ -311,28 +312,7 @@
 
 TEST_CASE("a planner that says nothing: every container is answered by the ledger in time, and honestly") {
     Rig t;
-    struct Silent : planner::Planning {
-        void node(Nanos, planner::NodeNumber, std::uint64_t, const Listed&) override {}
-        void list_done(Nanos, bool) override {}
-        void list_failed(Nanos) override {}
-        void begin(Nanos) override {}
-        void take(Nanos, planner::ContainerNumber n, std::uint64_t, const Asked&) override {
-            taken.push_back(n);
-        }
-        void take_over(Nanos, planner::ContainerNumber, std::uint64_t, const Asked&,
-                       planner::NodeNumber) override {}
-        void accepted(Nanos, planner::ContainerNumber, int) override {}
-        void runs(Nanos, planner::ContainerNumber, int) override {}
-        void uses_cores(Nanos, planner::ContainerNumber, int, double) override {}
-        void uses_memory(Nanos, planner::ContainerNumber, int, double) override {}
-        void served_share(Nanos, planner::ContainerNumber, int, double) override {}
-        void machine_memory(Nanos, planner::ContainerNumber, int, double) override {}
-        void ended(Nanos, planner::ContainerNumber, int, Ending, Reason, bool, const Report&) override {}
-        void withdrawn(Nanos, planner::ContainerNumber) override {}
-        void heard(Nanos, planner::NodeNumber, const Report&) override {}
-        void round(Nanos) override {}
-        std::vector<planner::ContainerNumber> taken;
-    } silent;
+    QuietPlanner silent;
     t.placer->edge.plan_with(silent);
     Rig::NodeAt& n = t.node("n");
     t.list({t.entry("n")});
