--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -67,3 +67,32 @@
     }
     CHECK(digests[0] == digests[1]);
 }
+
+TEST_CASE(
+    "the bad day keeps the rules with a yes on running, a list that must be asked for, and use reported") {
+    std::string text = bad_day();
+    const auto swap = [&text](const std::string& from, const std::string& to) {
+        const std::size_t at = text.find(from);
+        REQUIRE(at != std::string::npos);
+        text.replace(at, from.size(), to);
+    };
+    swap("yes_on = \"acceptance\"", "yes_on = \"running\"\nfree_means = \"not_in_use\"");
+    swap("list_late_ms = 500", "list_late_ms = 500\nlist_pushes = false");
+    std::vector<std::string> problems;
+    const standin::Plan plan = standin::parse_plan(text, "bad-day.toml", problems);
+    REQUIRE(problems.empty());
+    lab::World world(6);
+    lab::SimGround ground(world, plan.placers, plan.zones);
+    standin::Play day(plan, ground, [](const std::string&) {});
+    const standin::Outcome out = lab::play(world, day);
+    std::string all;
+    for (const standin::Breach& b : out.verdict.breaches) {
+        all += b.what + "\n" + show(b.line, day.began());
+        for (const std::string& l : standin::story(day.seen(), b.line.container, day.began()))
+            all += "\n  " + l;
+    }
+    INFO(all);
+    CHECK(out.verdict.kept());
+    CHECK(out.still_waiting == 0);
+    CHECK(out.counts[0].placed > 2000);
+}
