--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -339,9 +339,9 @@
 
 void Placer::heard(Nanos now, Machine& m, const Report& r) {
     m.heard_at = now;
-    if (!r.has_free_cores && !r.has_busy && !r.has_free_memory) return;
     for (Container* c : queue_)
         if (c->looks) c->not_before = 0;
+    if (!r.has_free_cores && !r.has_busy && !r.has_free_memory) return;
     m.report = r;
     m.reported_at = now;
 }
