Late starts stand in for notes of pressure; launches given up after 0.4 s

A start beyond one and a half times the slow fifth of all starts of its group (program known there or not) now counts as the machine's own slow-down; young machines are left out.

--- a/drill/wire.cpp
+++ b/drill/wire.cpp
@@ -383,7 +383,8 @@
                            p.nth("family_info.free_by", 0, "asked") == "used",
                            p.truth_or("limits.probes", false),
                            p.text("family_info.yes_at") == "running",
-                           p.truth_or("family_info.pushes_out", false)};
+                           p.truth_or("family_info.pushes_out", false),
+                           p.truth_or("family_info.says_pressure", true)};
         ColdTerms cold{p.positive("contract.cold_from"),        p.micros("contract.cold_us"),
                        p.positive("contract.fall_multiple"),    p.micros("contract.fall_us"),
                        p.real_or("family_info.young_limit", 0), static_cast<int>(p.positive("balancers")),
--- a/include/whinpost/placer.h
+++ b/include/whinpost/placer.h
@@ -51,6 +51,7 @@
     bool can_probe = false;
     bool yes_on_running = false;  // else yes comes on acceptance
     bool preempts = false;
+    bool notes_pressure = true;  // notes say how a container is served and how full its machine's memory is
 };
 
 struct ColdTerms {
@@ -127,6 +128,12 @@
     Nanos last_ran = 0;
 };
 
+// Launches of one queue group at one machine that went wrong with no start between.
+struct Streak {
+    int failed = 0;
+    Nanos last = 0;
+};
+
 struct Machine {
     Machine(int number_, std::uint64_t mark_, Nanos turn);
     int number;
@@ -143,6 +150,7 @@
     double own_cores = 0, own_memory = 0;
     Ring<16> new_cores, new_memory;       // own change that the view cannot show yet
     std::vector<Ring<16>> failed, begun;  // launches of this placer, by queue group and how they went
+    std::vector<Streak> streaks;
     Ring<2> offers;                       // binds while young, by turn
     int turns = -1;                       // it lets have so many while young; -1: it does not say
     int waiting = 0;                      // launches without an answer yet
@@ -253,6 +261,8 @@
     void relieve(Nanos now, Container&);
     bool look_first(Nanos now, Container&, Machine&);
     double slow_down(Nanos now, Container&, Machine&, double& start);
+    double excess(Nanos now, const Machine&) const;
+    double late_start(const Container&, Nanos now) const;
     double failing(Nanos now, Machine&, std::size_t group) const;
     bool young(Nanos now, const Machine&) const;
     bool young_bears(Nanos now, Machine&) const;
@@ -288,6 +298,7 @@
     double mean_value_;
     double use_cores_ = 0, use_memory_ = 0, ask_cores_ = 0,
            ask_memory_ = 0;  // fading sums behind the use ratios
+    std::vector<double> usual_start_;  // seconds, by queue group, without and with the program known there
     double answer_s_;        // usual time to a yes
     Nanos next_wake_ = 0, next_working_ = 0;
     Nanos retry_list_ = 0, retry_gap_ = 0;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -58,12 +58,14 @@
     : port_(port), chance_(static_cast<std::ranlux24_base::result_type>(seed ^ (seed >> 24) ^ (seed >> 48))),
       zone_(zone), groups_(std::move(groups)), kinds_(std::move(kinds)), accepts_(accepts), cold_(cold),
       list_(list), launch_(launch), prices_(prices), calm_(1), mean_value_(kStartingPair), answer_s_(0.1) {
+    usual_start_.resize(2 * groups_.size());
     for (const QueueGroup& g : groups_) calm_ = std::min(calm_, g.calm);
 }
 
 Machine& Placer::meet_machine(std::uint64_t mark) {
     Machine& m = machines_.emplace_back(static_cast<int>(machines_.size()), mark, cold_.window);
     m.failed = m.begun = std::vector<Ring<16>>(groups_.size(), Ring<16>(kTally));
+    m.streaks.resize(groups_.size());
     return m;
 }
 Service& Placer::meet_service(std::uint64_t mark) {
@@ -83,6 +85,7 @@
     if (!m.known) fleet_.push_back(&m);
     if (m.known && entry.started > m.listed.started) {  // started anew: it holds and knows nothing
         for (Ring<16>& r : m.failed) r.clear();
+        for (Streak& s : m.streaks) s = {};
         m.excess = m.memory_used = 0;
         for (Neighbour& n : m.neighbours) n.last_ran = 0;
     }
@@ -256,6 +259,7 @@
 
 // ---------------------------------------------------------------- what machines and owners tell
 
+constexpr double kLateStart = 1.5;
 constexpr Nanos kExcessHalves = 3 * kSecond;  // notes come once a second: three missed halve it
 
 void Container::served_share(Nanos now, int, double share) {
@@ -321,10 +325,18 @@
     c.running = true;
     Neighbour* n = find(*c.out, c.service);
     c.out->begun[static_cast<std::size_t>(c.asked.group)].add(now, 1);
+    c.out->streaks[static_cast<std::size_t>(c.asked.group)].failed = 0;
     ++n->running;
     n->last_ran = now;
     Service& s = *c.service;
     const double took = seconds(now - c.sent);
+    if (!accepts_.notes_pressure) {
+        const double late = late_start(c, now), old = excess(now, *c.out);
+        c.out->excess = late > old ? late : fade_to(old, late, 0.5);
+        c.out->excess_at = now;
+        double& usual = usual_start_[static_cast<std::size_t>(2 * c.asked.group + c.warm_start)];
+        usual = usual > 0 ? usual * (took > usual ? 1.16 : 1 / 1.04) : took;
+    }
     if (!c.warm_start) {
         s.median_cold = s.median_cold > 0 ? fade_to(s.median_cold, took, 0.2) : took;
         return;
@@ -346,6 +358,7 @@
     m.reported_at = now;
 }
 
+constexpr Nanos kRetryAfter = 4 * kSecond;
 constexpr Nanos kRefusalHolds = 700 * kMillisecond;   // a few containers end on a machine in that time
 constexpr Nanos kFullLineHolds = 300 * kMillisecond;  // a line of offers is worked off in that time
 constexpr Nanos kNotHereHolds = 2 * kSecond;          // it drains, and the list will soon say so
@@ -359,7 +372,7 @@
     if (how == Ending::served) {
         double& life = service->mean_life_s;
         life = fade_to(life > 0 ? life : seconds(now - sent), seconds(now - sent), 0.1);
-        if (!noted_quality && running) p.observe(*this, 0);  // no note in its life: it was served in full
+        if (p.accepts_.notes_pressure && !noted_quality && running) p.observe(*this, 0);  // no note in its life: it was served in full
     }
     if (!was_placed && !proves_not_run(how) && !first_maybe) {
         first_maybe = &m;
@@ -387,6 +400,11 @@
     } else if (how == Ending::error || how == Ending::unconnected || how == Ending::timed_out ||
                (how == Ending::reset && (!was_placed || why == Reason::untold))) {
         m.failed[static_cast<std::size_t>(asked.group)].add(now, 1);
+        Streak& s = m.streaks[static_cast<std::size_t>(asked.group)];
+        if (now - s.last >= kRetryAfter || !s.failed) {
+            ++s.failed;
+            s.last = now;
+        }
         turned_down.push_back(&m);
     }
     if (closed) p.settle(*this);
@@ -535,11 +553,26 @@
 // least bad is still used.
 double Placer::failing(Nanos now, Machine& m, std::size_t group) const {
     const double bad = m.failed[group].sum(now);
-    return bad <= 0 ? 0 : bad / (bad + m.begun[group].sum(now) + 1);
+    double share = bad <= 0 ? 0 : bad / (bad + m.begun[group].sum(now) + 1);
+    const Streak& s = m.streaks[group];
+    if (s.failed > 0 && now - s.last < kRetryAfter << std::min(s.failed - 1, 3))
+        share = std::max(share, s.failed / (s.failed + 1.0));
+    return share;
+}
+
+double Placer::excess(Nanos now, const Machine& m) const {
+    double most = m.excess > 0 ? m.excess * std::exp2(-seconds(now - m.excess_at) / seconds(kExcessHalves)) : 0;
+    if (accepts_.notes_pressure) return most;
+    for (const Container* c : m.held)
+        if (c->placed && !c->running) most = std::max(most, late_start(*c, now));
+    return most;
 }
 
-double excess(Nanos now, const Machine& m) {
-    return m.excess > 0 ? m.excess * std::exp2(-seconds(now - m.excess_at) / seconds(kExcessHalves)) : 0;
+// Departure (machines that are slow to start): where no note says how a container is served, what a start took
+// beyond twice the usual one stands in for it.
+double Placer::late_start(const Container& c, Nanos now) const {
+    const double usual = usual_start_[static_cast<std::size_t>(2 * c.asked.group + c.warm_start)];
+    return usual <= 0 || young(c.sent, *c.out) ? 0 : std::clamp(seconds(now - c.sent) / (kLateStart * usual) - 1, 0.0, 4.0);
 }
 
 double Placer::slow_down(Nanos now, Container& c, Machine& m, double& start) {
@@ -578,7 +611,7 @@
             std::max({l.asked_cores / accepts_.cores_multiple / m->size->cores,
                       l.asked_memory / accepts_.memory_multiple / m->size->memory,
                       l.used_cores / calm_ / m->size->cores, l.used_memory / kMemoryFull / m->size->memory});
-        ranked.emplace_back(fill, m);
+        ranked.emplace_back(fill * m->size->cores, m);
         total += fill * m->size->cores;
         all += m->size->cores;
     }
@@ -684,7 +717,7 @@
 Nanos Placer::time_out(Nanos now, const Container& c) const {
     const Nanos left = c.until - now;
     if (c.group->effect == Effect::side_effecting || c.launches + 1 >= launch_.most) return left;
-    const double usual = std::max(8 * answer_s_, accepts_.yes_on_running ? seconds(left) * 0.6 : 0.8);
+    const double usual = std::max(8 * answer_s_, accepts_.yes_on_running ? seconds(left) * 0.6 : 0.4);
     const Nanos wait = nanos(usual);
     return wait > left * 7 / 10 ? left : wait;
 }
