Opening a machine has its price in the wider look; starts are late from 2.5 times the slow fifth

Scratch copies with counters: the working set had not grown (22 of 30) but a tenth of the launches went by the wider look to empty machines, each then open for a life. Ruled out: the working set's discount of late machines, its ranking, pair values.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -259,7 +259,7 @@
 
 // ---------------------------------------------------------------- what machines and owners tell
 
-constexpr double kLateStart = 1.5;
+constexpr double kLateStart = 2.5;
 constexpr Nanos kExcessHalves = 3 * kSecond;  // notes come once a second: three missed halve it
 
 void Container::served_share(Nanos now, int, double share) {
@@ -572,7 +572,7 @@
 // beyond twice the usual one stands in for it.
 double Placer::late_start(const Container& c, Nanos now) const {
     const double usual = usual_start_[static_cast<std::size_t>(2 * c.asked.group + c.warm_start)];
-    return usual <= 0 || young(c.sent, *c.out) ? 0 : std::clamp(seconds(now - c.sent) / (kLateStart * usual) - 1, 0.0, 4.0);
+    return usual <= 0 || young(c.sent, *c.out) ? 0 : std::clamp(1.0 * (seconds(now - c.sent) / (kLateStart * usual) - 1), 0.0, 1.0);
 }
 
 double Placer::slow_down(Nanos now, Container& c, Machine& m, double& start) {
@@ -633,6 +633,7 @@
 // service gathers there. The machines known to hold it join.
 constexpr double kWarm[kSample] = {0.7, 0.5, 0.3, 0.2, 0.1, 0, 0, 0};  // chance that it runs there
 constexpr double kTogether = 5;  // containers of a service that stand together, so that one is likely known
+constexpr double kOpening = 4;
 constexpr std::uint64_t kDraws = 8 * kSample;  // to find so many with room; past it the fleet is full
 
 Machine* Placer::pick(Nanos now, Container& c, bool under_bound) {
@@ -646,6 +647,7 @@
         double start = 0;
         double sum = slow_down(now, c, *m, start);
         if (under_bound && sum > kBound) return true;
+        if (!m->working) sum += kOpening * prices_.machines_in_use;
         sum += start * cold + (m->listed.zone != zone_ ? prices_.across_zones : 0);
         if (!best || sum < best_sum) {
             best = m;
