--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -511,6 +511,7 @@
     return l;
 }
 
+constexpr double kLeave = 0.9;
 bool Placer::has_room(Nanos now, const Container& c, Machine& m) const {
     if (m.probed_at > m.heard_at && now - m.probed_at >= kLookWait && now - m.probed_at < kSilentFor)
         return false;
@@ -521,8 +522,12 @@
     if (now < m.refused_until && (c.asked.cores >= m.refused_cores || c.asked.memory >= m.refused_memory))
         return false;
     const Load l = load(now, m, c.asked);
-    return l.asked_cores <= accepts_.cores_multiple * m.size->cores &&
-           l.asked_memory <= accepts_.memory_multiple * m.size->memory &&
+    double leave = 1;  // departure (push-outs): room left for those that would push this one out
+    if (accepts_.preempts)
+        for (const QueueGroup& g : groups_)
+            if (g.priority > c.group->priority && (g.kind < 0 || g.kind == m.listed.kind)) leave = kLeave;
+    return l.asked_cores <= leave * accepts_.cores_multiple * m.size->cores &&
+           l.asked_memory <= leave * accepts_.memory_multiple * m.size->memory &&
            l.used_memory <= kMemoryHard * m.size->memory;
 }
 
