--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -626,7 +626,7 @@
     int extra = widen_;
     for (auto& [fill, m] : ranked) {
         m->working = prices_.machines_in_use <= 0 || held < total || extra-- > 0;
-        bool well = excess(now, *m) < kBound;
+        bool well = !accepts_.notes_pressure || excess(now, *m) < kBound;
         for (std::size_t g = 0; g < groups_.size(); ++g) well = well && failing(now, *m, g) < 0.2;
         if (well) held += m->size->cores * kTargetFill;
     }
