Working set chosen from the list's view alone, so that all placers choose the same

What only this placer knows (its own changes, reports) made each placer's set another; machines in use are the union of all.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -479,11 +479,12 @@
 constexpr double kMemorySlope = 8;    // crowded memory slows by up to 70% within a tenth of its size
 constexpr double kUnknownUse = 0.7;   // use over asks before any note: between none and all of it
 
+double used(double use, double ask) { return ask > 0 ? use / ask : kUnknownUse; }
+
 // What a machine is taken to hold: the view's asks and this placer's own changes that the view cannot show
 // yet, their use by the usual ratio, and where a report is fresher and says more, that.
 Placer::Load Placer::load(Nanos now, Machine& m, const Asked& more) const {
-    const double cores = ask_cores_ > 0 ? use_cores_ / ask_cores_ : kUnknownUse;
-    const double memory = ask_memory_ > 0 ? use_memory_ / ask_memory_ : kUnknownUse;
+    const double cores = used(use_cores_, ask_cores_), memory = used(use_memory_, ask_memory_);
     Load l{m.size->cores - m.listed.free_cores + m.new_cores.sum(now, kViewLag),
            m.size->memory - m.listed.free_memory + m.new_memory.sum(now, kViewLag), 0, 0};
     const Report& r = m.report;
@@ -611,11 +612,12 @@
     double total = 0, all = 0, held = 0;
     for (Machine* m : fleet_) {
         if (m->listed.stage != Stage::serving) continue;
-        const Load l = load(now, *m, {});
+        const double cores = 1 - m->listed.free_cores / m->size->cores;
+        const double memory = 1 - m->listed.free_memory / m->size->memory;
         const double fill =
-            std::max({l.asked_cores / accepts_.cores_multiple / m->size->cores,
-                      l.asked_memory / accepts_.memory_multiple / m->size->memory,
-                      l.used_cores / calm_ / m->size->cores, l.used_memory / kMemoryFull / m->size->memory});
+            std::max({cores / accepts_.cores_multiple, memory / accepts_.memory_multiple,
+                      cores * used(use_cores_, ask_cores_) / calm_,
+                      memory * used(use_memory_, ask_memory_) / kMemoryFull});
         ranked.emplace_back(fill * m->size->cores, m);
         total += fill * m->size->cores;
         all += m->size->cores;
