--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -618,7 +618,7 @@
             std::max({cores / accepts_.cores_multiple, memory / accepts_.memory_multiple,
                       cores * used(use_cores_, ask_cores_) / calm_,
                       memory * used(use_memory_, ask_memory_) / kMemoryFull});
-        ranked.emplace_back(fill * m->size->cores, m);
+        ranked.emplace_back(fill, m);
         total += fill * m->size->cores;
         all += m->size->cores;
     }
