--- a/include/whinpost/placer.h
+++ b/include/whinpost/placer.h
@@ -260,7 +260,7 @@
     void choose_working(Nanos now);
     void relieve(Nanos now, Container&);
     bool look_first(Nanos now, Container&, Machine&);
-    double slow_down(Nanos now, Container&, Machine&, double& start);
+    double slow_down(Nanos now, Container&, Machine&, double wary, double& start);
     double excess(Nanos now, const Machine&) const;
     double late_start(const Container&, Nanos now) const;
     double failing(Nanos now, Machine&, std::size_t group) const;
@@ -286,6 +286,7 @@
     ListTerms list_;
     LaunchTerms launch_;
     Prices prices_;
+    std::vector<const QueueGroup*> steepest_;  // by machine kind, of those that may run there
     double calm_;  // the least of any queue group's
     std::list<Machine> machines_;
     std::vector<Machine*> fleet_;  // the listed ones, in the order they were met
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -59,6 +59,15 @@
       zone_(zone), groups_(std::move(groups)), kinds_(std::move(kinds)), accepts_(accepts), cold_(cold),
       list_(list), launch_(launch), prices_(prices), calm_(1), mean_value_(kStartingPair), answer_s_(0.1) {
     usual_start_.resize(2 * groups_.size());
+    for (std::size_t k = 0; k < kinds_.size(); ++k) {
+        steepest_.push_back(&groups_[0]);
+        bool any = false;
+        for (const QueueGroup& g : groups_)
+            if (g.kind < 0 || g.kind == static_cast<int>(k)) {
+                if (!any || g.calm + g.fade < steepest_[k]->calm + steepest_[k]->fade) steepest_[k] = &g;
+                any = true;
+            }
+    }
     for (const QueueGroup& g : groups_) calm_ = std::min(calm_, g.calm);
 }
 
@@ -581,13 +590,14 @@
     return usual <= 0 || young(c.sent, *c.out) ? 0 : std::clamp(1.0 * (seconds(now - c.sent) / (kLateStart * usual) - 1), 0.0, 1.0);
 }
 
-double Placer::slow_down(Nanos now, Container& c, Machine& m, double& start) {
+double Placer::slow_down(Nanos now, Container& c, Machine& m, double wary, double& start) {
     double sum = predicted(m, *c.service);
     // Departure (crowding): where running containers suddenly use more, the weights lag; what the machine is
     // known to use then counts at once, by the queue group's own curve.
     const Load l = load(now, m, c.asked);
-    const double over = l.used_cores / m.size->cores - c.group->calm;
-    if (over > 0) sum += 1 / std::max(0.05, 1 - over / std::max(c.group->fade, 0.01)) - 1;
+    const QueueGroup& curve = *steepest_[static_cast<std::size_t>(m.listed.kind)];
+    const double over = wary * l.used_cores / m.size->cores - curve.calm;
+    if (over > 0) sum += 1 / std::max(0.05, 1 - over / std::max(curve.fade, 0.01)) - 1;
     sum += kMemorySlope * std::max(0.0, l.used_memory / m.size->memory - kMemoryFull);
     sum += excess(now, m) + 1 / (1 - failing(now, m, static_cast<std::size_t>(c.asked.group))) - 1;
     // Departure (cold starts): a start without the program is slow, which costs the worth of a start in time.
@@ -640,6 +650,7 @@
 // service gathers there. The machines known to hold it join.
 constexpr double kWarm[kSample] = {0.7, 0.5, 0.3, 0.2, 0.1, 0, 0, 0};  // chance that it runs there
 constexpr double kTogether = 5;  // containers of a service that stand together, so that one is likely known
+constexpr double kWary = 1.25;
 constexpr double kOpening = 4;
 constexpr std::uint64_t kDraws = 8 * kSample;  // to find so many with room; past it the fleet is full
 
@@ -652,7 +663,7 @@
         seen.push_back(m);
         if ((under_bound && !m->working) || !may_bind(now, c, *m) || !has_room(now, c, *m)) return false;
         double start = 0;
-        double sum = slow_down(now, c, *m, start);
+        double sum = slow_down(now, c, *m, under_bound ? kWary : 1, start);
         if (under_bound && sum > kBound) return true;
         if (!m->working) sum += kOpening * prices_.machines_in_use;
         sum += start * cold + (m->listed.zone != zone_ ? prices_.across_zones : 0);
