--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -663,7 +663,7 @@
         seen.push_back(m);
         if ((under_bound && !m->working) || !may_bind(now, c, *m) || !has_room(now, c, *m)) return false;
         double start = 0;
-        double sum = slow_down(now, c, *m, under_bound ? kWary : 1, start);
+        double sum = slow_down(now, c, *m, under_bound && !accepts_.notes_pressure ? kWary : 1, start);
         if (under_bound && sum > kBound) return true;
         if (!m->working) sum += kOpening * prices_.machines_in_use;
         sum += start * cold + (m->listed.zone != zone_ ? prices_.across_zones : 0);
