--- a/include/whinpost/placer.h
+++ b/include/whinpost/placer.h
@@ -128,12 +128,6 @@
     Nanos last_ran = 0;
 };
 
-// Launches of one queue group at one machine that went wrong with no start between.
-struct Streak {
-    int failed = 0;
-    Nanos last = 0;
-};
-
 struct Machine {
     Machine(int number_, std::uint64_t mark_, Nanos turn);
     int number;
@@ -150,7 +144,6 @@
     double own_cores = 0, own_memory = 0;
     Ring<16> new_cores, new_memory;       // own change that the view cannot show yet
     std::vector<Ring<16>> failed, begun;  // launches of this placer, by queue group and how they went
-    std::vector<Streak> streaks;
     Ring<2> offers;                       // binds while young, by turn
     int turns = -1;                       // it lets have so many while young; -1: it does not say
     int waiting = 0;                      // launches without an answer yet
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -74,7 +74,6 @@
 Machine& Placer::meet_machine(std::uint64_t mark) {
     Machine& m = machines_.emplace_back(static_cast<int>(machines_.size()), mark, cold_.window);
     m.failed = m.begun = std::vector<Ring<16>>(groups_.size(), Ring<16>(kTally));
-    m.streaks.resize(groups_.size());
     return m;
 }
 Service& Placer::meet_service(std::uint64_t mark) {
@@ -94,7 +93,6 @@
     if (!m.known) fleet_.push_back(&m);
     if (m.known && entry.started > m.listed.started) {  // started anew: it holds and knows nothing
         for (Ring<16>& r : m.failed) r.clear();
-        for (Streak& s : m.streaks) s = {};
         m.excess = m.memory_used = 0;
         for (Neighbour& n : m.neighbours) n.last_ran = 0;
     }
@@ -334,7 +332,6 @@
     c.running = true;
     Neighbour* n = find(*c.out, c.service);
     c.out->begun[static_cast<std::size_t>(c.asked.group)].add(now, 1);
-    c.out->streaks[static_cast<std::size_t>(c.asked.group)].failed = 0;
     ++n->running;
     n->last_ran = now;
     Service& s = *c.service;
@@ -367,7 +364,6 @@
     m.reported_at = now;
 }
 
-constexpr Nanos kRetryAfter = 4 * kSecond;
 constexpr Nanos kRefusalHolds = 700 * kMillisecond;   // a few containers end on a machine in that time
 constexpr Nanos kFullLineHolds = 300 * kMillisecond;  // a line of offers is worked off in that time
 constexpr Nanos kNotHereHolds = 2 * kSecond;          // it drains, and the list will soon say so
@@ -409,11 +405,6 @@
     } else if (how == Ending::error || how == Ending::unconnected || how == Ending::timed_out ||
                (how == Ending::reset && (!was_placed || why == Reason::untold))) {
         m.failed[static_cast<std::size_t>(asked.group)].add(now, 1);
-        Streak& s = m.streaks[static_cast<std::size_t>(asked.group)];
-        if (now - s.last >= kRetryAfter || !s.failed) {
-            ++s.failed;
-            s.last = now;
-        }
         turned_down.push_back(&m);
     }
     if (closed) p.settle(*this);
@@ -568,11 +559,7 @@
 // least bad is still used.
 double Placer::failing(Nanos now, Machine& m, std::size_t group) const {
     const double bad = m.failed[group].sum(now);
-    double share = bad <= 0 ? 0 : bad / (bad + m.begun[group].sum(now) + 1);
-    const Streak& s = m.streaks[group];
-    if (s.failed > 0 && now - s.last < kRetryAfter << std::min(s.failed - 1, 3))
-        share = std::max(share, s.failed / (s.failed + 1.0));
-    return share;
+    return bad <= 0 ? 0 : bad / (bad + m.begun[group].sum(now) + 1);
 }
 
 double Placer::excess(Nanos now, const Machine& m) const {
