--- a/apps/whinpost_main.cpp
+++ b/apps/whinpost_main.cpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "embedded.h"
+#include "migrate.h"
 #include "net/event_loop.h"
 
 namespace {
@@ -87,7 +88,17 @@
         app.add_subcommand("rehearse", "Rehearse an incident with stand-ins (rehearse --help says how)");
     rehearse_command->prefix_command();
     rehearse_command->set_help_flag();
+    CLI::App* migrate_command = app.add_subcommand(
+        "migrate", "Write a configuration's counterpart for a deployment of another shape");
+    std::string shape, out;
+    bool dry_run = false;
+    migrate_command->add_option("old", path, "The configuration that stands (TOML)")->required();
+    migrate_command->add_option("--shape", shape, "What describes the new deployment (TOML)")->required();
+    migrate_command->add_option("--out", out, "The file to write; it must not stand yet")->required();
+    migrate_command->add_flag("--dry-run", dry_run, "Say the same, and change nothing");
+    migrate_command->footer("Exit status: 0 all carried, 1 written but something left behind, 2 an error.");
     CLI11_PARSE(app, argc, argv);
+    if (migrate_command->parsed()) return apps::migrate(path, shape, out, dry_run);
     if (rehearse_command->parsed()) return rehearse(argv[0], rehearse_command->remaining());
     // What can't be parsed is told by the door that read it, in the log's own form.
     google::protobuf::SetLogHandler(nullptr);
--- a/include/whinpost/placer.h
+++ b/include/whinpost/placer.h
@@ -280,7 +280,7 @@
     LaunchTerms launch_;
     Prices prices_;
     std::vector<const QueueGroup*> steepest_;  // by machine kind, of those that may run there
-    double calm_;  // the least of any queue group's
+    double calm_;                              // the least of any queue group's
     std::list<Machine> machines_;
     std::vector<Machine*> fleet_;  // the listed ones, in the order they were met
     std::list<Service> services_;
@@ -291,9 +291,9 @@
     int lists_ = 1;       // told so far
     double mean_value_;
     double use_cores_ = 0, use_memory_ = 0, ask_cores_ = 0,
-           ask_memory_ = 0;  // fading sums behind the use ratios
+           ask_memory_ = 0;            // fading sums behind the use ratios
     std::vector<double> usual_start_;  // seconds, by queue group, without and with the program known there
-    double answer_s_;        // usual time to a yes
+    double answer_s_;                  // usual time to a yes
     Nanos next_wake_ = 0, next_working_ = 0;
     Nanos retry_list_ = 0, retry_gap_ = 0;
     Nanos short_until_ =
--- a/src/config/placer_file.cpp
+++ b/src/config/placer_file.cpp
@@ -81,6 +81,7 @@
     a.can_probe = t.truth("can_probe", true);
     a.yes_on_running = t.word("yes_on", {"acceptance", "running"}, 0) == 1;
     a.preempts = t.truth("preempts", false);
+    a.notes_pressure = t.truth("notes_pressure", true);
     return a;
 }
 
@@ -168,4 +169,22 @@
     return s;
 }
 
+std::vector<std::string> check(Document& file) {
+    Table root = file.root();
+    const Named me = placer(root);
+    queue_groups(root, machine_kinds(root).size());
+    acceptance(root);
+    cold_terms(root);
+    const ListAt at = list_at(root);
+    launch_terms(root);
+    prices(root);
+    intake_limits(root);
+    link_terms(root);
+    dialling(root);
+    saying(root);
+    if (!me.listen.empty() && me.listen == at.address)
+        root.table("list").wrong("address", "is the address that placer.listen has");
+    return file.problems();
+}
+
 }  // namespace whinpost::config
--- a/src/config/placer_file.h
+++ b/src/config/placer_file.h
@@ -44,5 +44,7 @@
 link::Terms link_terms(Table root);
 Dialling dialling(Table root);
 Saying saying(Table root);
+// All of them, for what is wrong alone.
+std::vector<std::string> check(Document&);
 
 }  // namespace whinpost::config
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -377,7 +377,8 @@
     if (how == Ending::served) {
         double& life = service->mean_life_s;
         life = fade_to(life > 0 ? life : seconds(now - sent), seconds(now - sent), 0.1);
-        if (p.accepts_.notes_pressure && !noted_quality && running) p.observe(*this, 0);  // no note in its life: it was served in full
+        if (p.accepts_.notes_pressure && !noted_quality && running)
+            p.observe(*this, 0);  // no note in its life: it was served in full
     }
     if (!was_placed && !proves_not_run(how) && !first_maybe) {
         first_maybe = &m;
@@ -563,18 +564,21 @@
 }
 
 double Placer::excess(Nanos now, const Machine& m) const {
-    double most = m.excess > 0 ? m.excess * std::exp2(-seconds(now - m.excess_at) / seconds(kExcessHalves)) : 0;
+    double most =
+        m.excess > 0 ? m.excess * std::exp2(-seconds(now - m.excess_at) / seconds(kExcessHalves)) : 0;
     if (accepts_.notes_pressure) return most;
     for (const Container* c : m.held)
         if (c->placed && !c->running) most = std::max(most, late_start(*c, now));
     return most;
 }
 
-// Departure (machines that are slow to start): where no note says how a container is served, what a start took
-// beyond twice the usual one stands in for it.
+// Departure (machines that are slow to start): where no note says how a container is served, what a start
+// took beyond twice the usual one stands in for it.
 double Placer::late_start(const Container& c, Nanos now) const {
     const double usual = usual_start_[static_cast<std::size_t>(2 * c.asked.group + c.warm_start)];
-    return usual <= 0 || young(c.sent, *c.out) ? 0 : std::clamp(1.0 * (seconds(now - c.sent) / (kLateStart * usual) - 1), 0.0, 1.0);
+    return usual <= 0 || young(c.sent, *c.out)
+               ? 0
+               : std::clamp(1.0 * (seconds(now - c.sent) / (kLateStart * usual) - 1), 0.0, 1.0);
 }
 
 double Placer::slow_down(Nanos now, Container& c, Machine& m, double wary, double& start) {
@@ -611,10 +615,9 @@
         if (m->listed.stage != Stage::serving) continue;
         const double cores = 1 - m->listed.free_cores / m->size->cores;
         const double memory = 1 - m->listed.free_memory / m->size->memory;
-        const double fill =
-            std::max({cores / accepts_.cores_multiple, memory / accepts_.memory_multiple,
-                      cores * used(use_cores_, ask_cores_) / calm_,
-                      memory * used(use_memory_, ask_memory_) / kMemoryFull});
+        const double fill = std::max({cores / accepts_.cores_multiple, memory / accepts_.memory_multiple,
+                                      cores * used(use_cores_, ask_cores_) / calm_,
+                                      memory * used(use_memory_, ask_memory_) / kMemoryFull});
         ranked.emplace_back(fill, m);
         total += fill * m->size->cores;
         all += m->size->cores;
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -588,7 +588,7 @@
         return;
     }
     if (NodePeer* peer = nodes_->find(l.node->name)) {
-        peer->link.forget(l);
+        peer->link.forget(l, how != Ending::timed_out && how != Ending::cancelled);
         if (how == Ending::unsent) taker_.unsent(peer->cold);
         if (how == Ending::timed_out || how == Ending::cancelled) {
             // Best effort, so that no copy stands idle; one that may not run twice is left for its owner to
--- a/src/link/link.cpp
+++ b/src/link/link.cpp
@@ -171,16 +171,21 @@
     return true;
 }
 
-void Link::forget(ledger::Launch& l) {
+// Guards against a launch that was given up while it lay in a buffer, and arrives at a node that drains by
+// then: it counts as on its way until the node is known to have read it.
+void Link::forget(ledger::Launch& l, bool answered) {
     drop_out(l);
     if (!queue_.empty()) std::erase(queue_, &l);
-    for (Written& w : unreceived_)
-        if (w.launch == &l) w.launch = nullptr;
-    // A node that answers has read, also one that never says so.
-    while (!unreceived_.empty() && !unreceived_.front().launch) {
-        unreceived_.pop_front();
-        ++received_;
-    }
+    const auto it = std::find_if(unreceived_.begin(), unreceived_.end(),
+                                 [&l](const Written& w) { return w.launch == &l; });
+    if (it == unreceived_.end()) return;
+    it->launch = nullptr;
+    if (!answered) return;
+    // A node that answers has read it and all before it, also one that never says so.
+    const auto read = it - unreceived_.begin() + 1;
+    unreceived_.erase(unreceived_.begin(), unreceived_.begin() + read);
+    received_ += static_cast<std::uint64_t>(read);
+    if (unreceived_.empty()) cut_at_ = 0;
 }
 
 void Link::adopt(ledger::Launch& l) {
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -97,8 +97,8 @@
     void want(Nanos now, bool);  // connected, as long as the node is in the list or holds anything
     void offer(Nanos now, ledger::Launch&);  // may be told over (unconnected) before it returns
     bool take_back(ledger::Launch&);         // true: it was still here, nothing of it has been written
-    void forget(ledger::Launch&);            // it is over, by whatever way
-    void dial_anew(Nanos now);               // the node stands at another address now
+    void forget(ledger::Launch&, bool answered = true);  // it is over; whether by the node's word
+    void dial_anew(Nanos now);                           // the node stands at another address now
     void adopt(ledger::Launch&);  // taken over: the node is asked after it, now or at its next greeting
 
     // ---- what happens on the stream
--- a/standin/day.cpp
+++ b/standin/day.cpp
@@ -181,6 +181,8 @@
     n.program_kept = fleet.span("program_kept_ms", 0, hour, n.program_kept);
     n.gives_turns = fleet.truth("gives_turns", false);
     n.drawn_starts = fleet.truth("drawn_starts", false);
+    n.reports = fleet.truth("reports", true);
+    n.sends_away_every = fleet.span("sends_away_every_ms", 0, hour, 0);
     n.report_every = fleet.span("report_every_ms", kMillisecond, hour, n.report_every);
 
     p.kinds = config::machine_kinds(root);
@@ -199,6 +201,7 @@
     n.yes_on_running = accepts.yes_on_running;
     n.preempts = accepts.preempts;
     n.reports_use = accepts.reports_use;
+    n.notes_pressure = accepts.notes_pressure;
     n.cold_from = cold.from;
     n.warm_after = cold.warm_after;
     n.fall_multiple = cold.multiple;
@@ -298,6 +301,7 @@
     NodeTerms terms = plan_.node;
     terms.cores = plan_.kinds[static_cast<std::size_t>(at.kind)].cores;
     terms.memory = plan_.kinds[static_cast<std::size_t>(at.kind)].memory;
+    terms.kind = at.kind;
     if (nodes_[i]) dead_.push_back(std::move(nodes_[i]));
     nodes_[i] = std::make_unique<Node>(*fleet_, ground_.node_loop(name, at.zone), name, at.zone, at.cell,
                                        terms, next_incarnation_++, started);
--- a/standin/node.cpp
+++ b/standin/node.cpp
@@ -123,6 +123,7 @@
       born_(f.loop.now() - static_cast<Nanos>(mark_of(name_) % 1000 + 1) * kSecond),
       giver_(*this, t.fall_window), judging_(std::make_unique<Later>([this] { judged(); })),
       noting_(std::make_unique<Later>([this] { notes(); })),
+      sending_away_(std::make_unique<Later>([this] { send_one_away(); })),
       sweeping_(std::make_unique<Later>([this] { left_.clear(); })), giving_(std::make_unique<Later>([this] {
           if (!faults_.paused && !faults_.silent) giver_.bears(fleet_.loop.now(), bears(fleet_.loop.now()));
           if (pace(fleet_.loop.now()) < 1) wake(fleet_.loop.now() + 100 * kMillisecond);
@@ -447,6 +448,8 @@
     if (a.launch.group() >= fleet_.groups.size()) return refuse(a, v1::NOT_HERE);
     if (fleet_.luck(faults_.refuse)) return refuse(a, v1::UNTOLD);
     const int group = static_cast<int>(a.launch.group());
+    const int needs = fleet_.groups[a.launch.group()].terms.kind;
+    if (needs >= 0 && needs != terms_.kind) return refuse(a, v1::NOT_HERE);
     if (fleet_.repeat(now, group, a.launch.container(), zone_, cell_)) return refuse(a, v1::NOT_HERE);
     if (over_rate(group)) return refuse(a, v1::UNTOLD);
     if (!make_room(a))
@@ -581,6 +584,7 @@
 }
 
 v1::Report Node::report() {
+    if (!terms_.reports) return {};
     const Nanos now = fleet_.loop.now();
     if (now - reported_ >= terms_.report_every) {
         reported_ = now;
@@ -622,6 +626,7 @@
         note(*c, v1::Note::MEMORY, c->launch.memory() * use);
         worst.emplace(c->placer, c.get());
     }
+    if (!terms_.notes_pressure) return;
     for (const auto& [placer, c] : worst) {
         const double served = share(static_cast<int>(c->launch.group()));
         if (served < 0.95) note(*c, v1::Note::SERVED_SHARE, served);
@@ -633,6 +638,7 @@
 
 void Node::drain(bool tell) {
     draining_ = true;
+    if (terms_.sends_away_every) fleet_.arm(*sending_away_, fleet_.loop.now() + terms_.sends_away_every);
     if (!tell) return;
     for (const auto& s : sessions_) {
         v1::FromNode m;
@@ -642,6 +648,12 @@
     }
 }
 
+void Node::send_one_away() {
+    if (containers_.empty() || fallen_) return;
+    end(*containers_.front(), v1::Ended::RESET, v1::SENT_AWAY);
+    fleet_.arm(*sending_away_, fleet_.loop.now() + terms_.sends_away_every);
+}
+
 void Node::send_all_away() {
     while (!containers_.empty()) end(*containers_.front(), v1::Ended::RESET, v1::SENT_AWAY);
 }
--- a/standin/node.h
+++ b/standin/node.h
@@ -39,6 +39,9 @@
     Nanos note_every = kSecond;
     Nanos remembers = 60 * kSecond;
     bool gives_turns = false;
+    bool reports = true, notes_pressure = true;  // says what it holds; how its containers are served
+    Nanos sends_away_every = 0;                  // one container, while it drains; 0: it keeps them
+    int kind = 0;
 };
 
 // The faults that a script can lay on a node. Shares are chances for each launch.
@@ -129,6 +132,7 @@
     std::size_t containers() const { return containers_.size(); }
     std::uint64_t launches() const { return launches_; }
 
+    void send_one_away();
     void drain(bool tell);    // accepts nothing more; `tell` says so on its connections
     void send_all_away();     // as a draining node that clears itself
     void set(const Faults&);  // in force from now on
@@ -191,7 +195,7 @@
     };
     std::deque<Told> ends_;
     std::map<std::string, Nanos> programs_;  // when its last container ended
-    std::unique_ptr<Later> judging_, noting_, sweeping_, giving_;
+    std::unique_ptr<Later> judging_, noting_, sending_away_, sweeping_, giving_;
     std::list<std::unique_ptr<Later>> late_;
     v1::Report report_;
     Nanos reported_ = -kSecond;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -33,20 +33,7 @@
 
 std::vector<std::string> problems_of(const std::string& text) {
     config::Document d = config::Document::parse(text, "f.toml");
-    config::Table root = d.root();
-    config::placer(root);
-    const auto kinds = config::machine_kinds(root);
-    config::queue_groups(root, kinds.size());
-    config::acceptance(root);
-    config::cold_terms(root);
-    config::list_at(root);
-    config::launch_terms(root);
-    config::prices(root);
-    config::intake_limits(root);
-    config::link_terms(root);
-    config::dialling(root);
-    config::saying(root);
-    return d.problems();
+    return config::check(d);
 }
 
 std::string with(const std::string& from, const std::string& to) {
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -192,6 +192,16 @@
         CHECK(b.told.size() == 15 + 41);
         CHECK(l.counts().in_doubt == 1);  // whole in the kernel's hands, not received
     }
+    SECTION("given up meanwhile: it may still lie in a buffer, and is cut all the same") {
+        for (ledger::Launch* out : l.in_order()) l.forget(*out, false);
+        l.tick(b.now + 750 * kMillisecond);
+        CHECK(b.drops == 1);
+    }
+    SECTION("the node answers the last on the way: it has read all, and there is nothing to cut") {
+        l.forget(*l.in_order().back(), true);
+        l.tick(b.now + 750 * kMillisecond);
+        CHECK(b.drops == 0);
+    }
     SECTION("received meanwhile: there is nothing to cut") {
         b.taken = b.bytes;
         l.received(b.now + 600 * kMillisecond, 45);
--- /dev/null
+++ b/tests/migrate_test.cpp
@@ -0,0 +1,200 @@
+// The counterpart of a file for another shape, and the command that writes it.
+#include "migrate/migrate.h"
+
+#include <sys/wait.h>
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+#include "config/document.h"
+#include "config/placer_file.h"
+
+using namespace whinpost;
+namespace fs = std::filesystem;
+
+namespace {
+
+const std::string kOld = R"([placer]
+name = "p"
+listen = "127.0.0.1:7400"
+zone = "b"
+zones = ["a", "b"]
+
+[list]
+address = "127.0.0.1:7500"
+
+[[machine_kind]]
+name = "std"
+cores = 16
+memory = 32
+
+[[queue_group]]
+name = "ingest"
+effect = "idempotent"
+start_target_ms = 800
+
+[acceptance]
+cores_multiple = 2.5
+free_means = "not_in_use"
+
+[links]
+drain_grace_ms = 1000
+silent_after_ms = 1500
+)";
+
+const std::string kShape = R"([[machine_kind]]
+name = "std"
+cores = 24
+memory = 40
+
+[[machine_kind]]
+name = "big"
+cores = 48
+memory = 80
+
+[[queue_group]]
+name = "ingest"
+effect = "idempotent"
+start_target_ms = 600
+machine_kind = 1
+spread = "machine"
+most = 2
+
+[acceptance]
+cores_multiple = 2.5
+free_means = "not_asked_for"
+notes_pressure = false
+
+[links]
+drain_grace_ms = 250
+)";
+
+std::string with(std::string text, const std::string& from, const std::string& to) {
+    const std::size_t at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+std::string joined(const std::vector<std::string>& all) {
+    std::string out;
+    for (const std::string& s : all) out += s + "\n";
+    return out;
+}
+migrate::Counterpart of(const std::string& old, const std::string& shape) {
+    return migrate::counterpart({"old.toml", old}, {"shape.toml", shape}, "new.toml");
+}
+
+struct Folder {
+    Folder() {
+        std::string name = (fs::temp_directory_path() / "whinpost-migrate.XXXXXX").string();
+        REQUIRE(mkdtemp(name.data()));
+        at = name;
+    }
+    ~Folder() { fs::remove_all(at); }
+    void put(const std::string& name, const std::string& text) { std::ofstream(at / name) << text; }
+    std::string get(const std::string& name) {
+        std::ifstream in(at / name);
+        return {std::istreambuf_iterator<char>(in), {}};
+    }
+    std::size_t files() {
+        return static_cast<std::size_t>(std::distance(fs::directory_iterator(at), fs::directory_iterator()));
+    }
+    int run(const std::string& words) {
+        const std::string command =
+            "cd " + at.string() + " && " WHINPOST_BINARY "/apps/whinpost migrate " + words + " >said 2>wrong";
+        const int status = std::system(command.c_str());
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    }
+    fs::path at;
+};
+
+}  // namespace
+
+TEST_CASE("the shape's tables replace the old ones, all else is carried, and what has no place is said") {
+    const migrate::Counterpart c = of(kOld, kShape);
+    REQUIRE(c.problems.empty());
+    config::Document d = config::Document::parse(c.text, "new.toml");
+    CHECK(config::check(d).empty());
+    CHECK(config::placer(d.root()).zone == 1);
+    CHECK(config::list_at(d.root()).address == "127.0.0.1:7500");
+    const auto kinds = config::machine_kinds(d.root());
+    CHECK((kinds.size() == 2 && kinds[0].cores == 24 && kinds[1].cores == 48));
+    const auto groups = config::queue_groups(d.root(), 2);
+    CHECK(
+        (groups[0].terms.kind == 1 && groups[0].terms.spread == Place::machine && groups[0].terms.most == 2));
+    CHECK_FALSE(config::acceptance(d.root()).notes_pressure);
+    const link::Terms links = config::link_terms(d.root());
+    CHECK((links.drain_grace == 250 * kMillisecond && links.silent_after == 1500 * kMillisecond));
+    CHECK(c.left.empty());
+    const std::string replaced = joined(c.replaced);
+    CHECK(replaced.find("old.toml:12: machine_kind.std.cores: 16 -> 24") != std::string::npos);
+    CHECK(replaced.find("machine_kind.big: new") != std::string::npos);
+    CHECK(replaced.find("links.drain_grace_ms: 1000 -> 250") != std::string::npos);
+    CHECK(joined(c.carried).find("old.toml:1: placer") != std::string::npos);
+}
+
+TEST_CASE("what the shape has no place for is left behind, with its line and why") {
+    const migrate::Counterpart c =
+        of(kOld + "\n[[queue_group]]\nname = \"batch\"\neffect = \"idempotent\"\nstart_target_ms = 5000\n",
+           with(kShape, "free_means = \"not_asked_for\"\n", ""));
+    REQUIRE(c.problems.empty());
+    const std::string left = joined(c.left);
+    CHECK(left.find("old.toml:28: queue_group.batch: the shape has none of this name") != std::string::npos);
+    CHECK(left.find("old.toml:22: acceptance.free_means = 'not_in_use'") != std::string::npos);
+    CHECK(c.text.find("batch") == std::string::npos);
+}
+
+TEST_CASE("what is wrong in either file is named with file, line and key, and nothing comes of it") {
+    struct Wrong {
+        std::string old, shape, says;
+    };
+    const auto w = GENERATE(values<Wrong>({
+        {"[placer", kShape, "old.toml:1: file: "},
+        {with(kOld, "zone = \"b\"", "zoen = \"b\""), kShape, "old.toml:4: placer.zoen: is not a known key"},
+        {kOld, "[[machine_kind", "shape.toml:1: file: "},
+        {kOld, with(kShape, "most = 2\n", ""), "queue_group[0].most: is missing"},
+        {kOld, with(kShape, "machine_kind = 1", "machine_kind = 2"),
+         "shape.toml:15: queue_group[0].machine_kind: must be a whole number from -1 to 1"},
+        {kOld, with(kShape, "cores = 24", "cores = 0"), "shape.toml:3: machine_kind[0].cores: must be"},
+        {kOld, with(kShape, "notes_pressure = false", "notes_pressure = \"no\""),
+         "shape.toml:22: acceptance.notes_pressure: must be true or false"},
+        {kOld, kShape + "silent_after_ms = 9\n", "shape.toml:26: links.silent_after_ms: is not a known key"},
+        {kOld, kShape + "[placer]\nname = \"q\"\n", "shape.toml:26: placer: is carried from the old file"},
+        {kOld, kShape + "[prices]\nmoves = -1\n", "shape.toml:27: prices.moves: must be a number"},
+        {kOld, "", "machine_kind: must name one kind of machine or more"},
+    }));
+    const migrate::Counterpart c = of(w.old, w.shape);
+    INFO(joined(c.problems));
+    CHECK(joined(c.problems).find(w.says) != std::string::npos);
+    CHECK(c.text.empty());
+}
+
+TEST_CASE("the command writes a file whole or not at all, over none, and changes nothing in a dry run") {
+    Folder f;
+    f.put("old.toml", kOld);
+    f.put("shape.toml", kShape);
+    const std::string usual = "old.toml --shape shape.toml --out new.toml";
+    CHECK(f.run(usual + " --dry-run") == 0);
+    CHECK(f.files() == 4);  // the two, and what it said
+    const std::string said = f.get("said");
+    CHECK(f.run(usual) == 0);
+    CHECK(with(said, "would be written", "written") == f.get("said"));
+    CHECK(std::system((WHINPOST_BINARY "/apps/whinpost check " + (f.at / "new.toml").string() + " >/dev/null")
+                          .c_str()) == 0);
+    CHECK(f.files() == 5);
+    const std::string before = f.get("new.toml");
+    f.put("shape.toml", with(kShape, "cores = 24", "cores = 30"));
+    CHECK(f.run(usual) == 2);
+    CHECK(f.get("wrong").find("new.toml:0: file: stands already") != std::string::npos);
+    CHECK(f.get("new.toml") == before);
+    f.put("shape.toml", with(kShape, "free_means = \"not_asked_for\"\n", ""));
+    CHECK(f.run("old.toml --shape shape.toml --out second.toml") == 1);
+    CHECK(f.get("said").find("acceptance.free_means") != std::string::npos);
+    CHECK(f.run("none.toml --shape shape.toml --out third.toml") == 2);
+    CHECK(f.get("wrong").find("none.toml:0: file: can't be read") != std::string::npos);
+    CHECK(f.run("old.toml --shape shape.toml --out no/such/folder.toml") == 2);
+    CHECK(f.get("wrong").find("folder.toml:0: file: can't be written") != std::string::npos);
+    CHECK(f.files() == 6);
+}
--- a/tests/placer_test.cpp
+++ b/tests/placer_test.cpp
@@ -279,3 +279,112 @@
     CHECK(next.out == c.out);
     CHECK(t.count('p') == 3);
 }
+
+namespace {
+// Machines that say nothing of how they serve.
+Acceptance quiet() {
+    Acceptance a{2.5, 1.5};
+    a.notes_pressure = false;
+    return a;
+}
+}  // namespace
+
+TEST_CASE("a probe's answer that reports nothing ends the wait of a container that looks") {
+    Acceptance a{2.5, 1.5};
+    a.can_probe = true;
+    Stand t({QueueGroup{}}, Stand::usual_cold(), {}, 4, a);
+    Machine& m = t.machine();
+    Container& c = t.bound(t.placer.meet_service(1));
+    REQUIRE(t.count('p') == 1);
+    REQUIRE_FALSE(c.out);
+    t.now += 5 * kMillisecond;
+    t.placer.heard(t.now, m, {});
+    t.placer.round(t.now);
+    CHECK(c.out == &m);
+}
+
+TEST_CASE("an end without a note teaches that it was served in full only where such notes come") {
+    const bool notes = GENERATE(true, false);
+    Acceptance a = quiet();
+    a.notes_pressure = notes;
+    Stand t({QueueGroup{}}, Stand::usual_cold(), {}, 4, a);
+    t.machine();
+    Service &s = t.placer.meet_service(1), &beside = t.placer.meet_service(2);
+    t.bound(beside);
+    Container& c = t.bound(s);
+    c.accepted(t.now, 0);
+    c.runs(t.now, 0);
+    t.pass(kSecond);
+    t.end(c, Ending::served, Reason::untold, true);
+    const auto pair = s.beside.find(beside.number);
+    CHECK((pair != s.beside.end()) == notes);
+    if (notes) CHECK(pair->second.value < 0.003);
+}
+
+TEST_CASE("a start far beyond the usual counts as the machine's slow-down where no notes come") {
+    const bool notes = GENERATE(true, false);
+    Acceptance a = quiet();
+    a.notes_pressure = notes;
+    Stand t({QueueGroup{}}, Stand::usual_cold(), {}, 4, a);
+    Machine& m = t.machine();
+    Service& s = t.placer.meet_service(1);
+    const auto start = [&](Nanos took) {
+        Container& c = t.bound(s);
+        c.accepted(t.now, 0);
+        t.pass(took);
+        c.runs(t.now, 0);
+    };
+    for (int i = 0; i < 12; ++i) start(200 * kMillisecond);
+    CHECK(m.excess == 0);
+    start(3 * kSecond);
+    CHECK((m.excess > 0.5) == !notes);
+}
+
+TEST_CASE("a lower priority leaves room for those that would push it out") {
+    Acceptance a{2.5, 1.2};
+    a.preempts = GENERATE(true, false);
+    QueueGroup low, high;
+    high.priority = 1;
+    Stand t({low, high}, Stand::usual_cold(), {}, 4, a);
+    Machine& m = t.machine();
+    t.entry(m, {0, 0, 0, 16, 32 - 1.2 * 32 * 0.93, Stage::serving, 0});
+    Container &l = t.bound(t.placer.meet_service(1), 0), &h = t.bound(t.placer.meet_service(2), 1);
+    t.pass(200 * kMillisecond);
+    CHECK(h.out == &m);
+    CHECK((l.out == &m) == !a.preempts);
+}
+
+TEST_CASE("a mild queue group leaves the machines of a steep one to it") {
+    QueueGroup mild, steep;
+    mild.fade = 1;
+    steep.calm = 0.8;
+    steep.fade = 0.15;
+    steep.kind = 1;
+    Stand t({mild, steep}, Stand::usual_cold(), {}, 4, quiet());
+    for (int i = 0; i < 6; ++i) t.entry(t.machine(), {0, 0, i % 2, i % 2 ? -4.8 : 0, 32, Stage::serving, 0});
+    for (std::uint64_t mark = 1; mark <= 8; ++mark) {
+        Container& c = t.bound(t.placer.meet_service(mark));
+        REQUIRE(c.out);
+        CHECK(c.out->listed.kind == 0);
+    }
+}
+
+TEST_CASE("all placers choose the same working set, whatever each has just placed") {
+    Prices p;
+    p.machines_in_use = 0.25;
+    Stand a({QueueGroup{}}, Stand::usual_cold(), {}, 4, {2.5, 1.5}, p),
+        b({QueueGroup{}}, Stand::usual_cold(), {}, 4, {2.5, 1.5}, p);
+    for (Stand* t : {&a, &b})
+        for (int i = 0; i < 10; ++i) t->entry(t->machine(), {0, 0, 0, 16.0 - i, 32, Stage::serving, 0});
+    for (std::uint64_t mark = 1; mark < 40; ++mark) a.bound(a.placer.meet_service(mark));
+    a.pass(kSecond);
+    a.bound(a.placer.meet_service(50));
+    b.pass(kSecond);
+    b.bound(b.placer.meet_service(50));
+    int working = 0;
+    for (std::size_t i = 0; i < 10; ++i) {
+        CHECK(a.machines[i]->working == b.machines[i]->working);
+        working += a.machines[i]->working;
+    }
+    CHECK((working > 0 && working < 10));
+}
--- a/tests/stand.h
+++ b/tests/stand.h
@@ -16,9 +16,9 @@
 
 struct Stand : Port {
     explicit Stand(std::vector<QueueGroup> groups = {QueueGroup{}}, ColdTerms cold = usual_cold(),
-                   ListTerms list = {}, int launches = 4, Acceptance accepts = {2.5, 1.5})
+                   ListTerms list = {}, int launches = 4, Acceptance accepts = {2.5, 1.5}, Prices prices = {})
         : placer(*this, 7, 0, std::move(groups), {{16, 32}, {48, 96}}, accepts, cold, list, {launches, true},
-                 {}) {}
+                 prices) {}
     static ColdTerms usual_cold() { return {0.25, 10 * kSecond, 3, 2 * kSecond, 40, 4}; }
 
     void bind(Container& c, Machine& m, Nanos t) override { seen.push_back({'b', &c, &m, t}); }
