--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -266,7 +266,7 @@
 
 // ---------------------------------------------------------------- what machines and owners tell
 
-constexpr double kLateStart = 2.5;
+constexpr double kLateStart = 2.5;  // times the slow fifth of starts; fewer shun machines on quiet days
 constexpr Nanos kExcessHalves = 3 * kSecond;  // notes come once a second: three missed halve it
 
 void Container::served_share(Nanos now, int, double share) {
@@ -340,6 +340,7 @@
         const double late = late_start(c, now), old = excess(now, *c.out);
         c.out->excess = late > old ? late : fade_to(old, late, 0.5);
         c.out->excess_at = now;
+        // Follows the slow fifth: a start that looks cold here may be warm by another placer's container.
         double& usual = usual_start_[static_cast<std::size_t>(2 * c.asked.group + c.warm_start)];
         usual = usual > 0 ? usual * (took > usual ? 1.16 : 1 / 1.04) : took;
     }
@@ -513,7 +514,7 @@
     return l;
 }
 
-constexpr double kLeave = 0.9;
+constexpr double kLeave = 0.9;  // of the room; a fifth less cost more starts than it spared push-outs
 bool Placer::has_room(Nanos now, const Container& c, Machine& m) const {
     if (m.probed_at > m.heard_at && now - m.probed_at >= kLookWait && now - m.probed_at < kSilentFor)
         return false;
@@ -524,7 +525,8 @@
     if (now < m.refused_until && (c.asked.cores >= m.refused_cores || c.asked.memory >= m.refused_memory))
         return false;
     const Load l = load(now, m, c.asked);
-    double leave = 1;  // departure (push-outs): room left for those that would push this one out
+    // Departure (push-outs): room is left for those that would push this one out.
+    double leave = 1;
     if (accepts_.preempts)
         for (const QueueGroup& g : groups_)
             if (g.priority > c.group->priority && (g.kind < 0 || g.kind == m.listed.kind)) leave = kLeave;
@@ -572,13 +574,14 @@
     return most;
 }
 
-// Departure (machines that are slow to start): where no note says how a container is served, what a start
-// took beyond twice the usual one stands in for it.
+// Departure (late starts): where no note says how a container is served, what a start takes far beyond the
+// usual one of its queue group stands in for the machine's own slow-down. Guards against slow and shared
+// machines; young ones are slow by nature. One odd start could shun a machine for some seconds.
 double Placer::late_start(const Container& c, Nanos now) const {
     const double usual = usual_start_[static_cast<std::size_t>(2 * c.asked.group + c.warm_start)];
     return usual <= 0 || young(c.sent, *c.out)
                ? 0
-               : std::clamp(1.0 * (seconds(now - c.sent) / (kLateStart * usual) - 1), 0.0, 1.0);
+               : std::clamp(seconds(now - c.sent) / (kLateStart * usual) - 1, 0.0, 1.0);
 }
 
 double Placer::slow_down(Nanos now, Container& c, Machine& m, double wary, double& start) {
@@ -586,6 +589,8 @@
     // Departure (crowding): where running containers suddenly use more, the weights lag; what the machine is
     // known to use then counts at once, by the queue group's own curve.
     const Load l = load(now, m, c.asked);
+    // Of the groups that may run on such a machine the one that suffers first sets the curve, so that a mild
+    // one does not crowd it there.
     const QueueGroup& curve = *steepest_[static_cast<std::size_t>(m.listed.kind)];
     const double over = wary * l.used_cores / m.size->cores - curve.calm;
     if (over > 0) sum += 1 / std::max(0.05, 1 - over / std::max(curve.fade, 0.01)) - 1;
@@ -628,6 +633,7 @@
     int extra = widen_;
     for (auto& [fill, m] : ranked) {
         m->working = prices_.machines_in_use <= 0 || held < total || extra-- > 0;
+        // Late starts are seen by each placer for itself; here all must come to the same set.
         bool well = !accepts_.notes_pressure || excess(now, *m) < kBound;
         for (std::size_t g = 0; g < groups_.size(); ++g) well = well && failing(now, *m, g) < 0.2;
         if (well) held += m->size->cores * kTargetFill;
@@ -640,8 +646,11 @@
 // service gathers there. The machines known to hold it join.
 constexpr double kWarm[kSample] = {0.7, 0.5, 0.3, 0.2, 0.1, 0, 0, 0};  // chance that it runs there
 constexpr double kTogether = 5;  // containers of a service that stand together, so that one is likely known
+// The mean use hides the machine that holds the hungry ones: where no note tells of it, the bound is held a
+// quarter up. Not in the wider look, which must place.
 constexpr double kWary = 1.25;
-constexpr double kOpening = 4;
+// A machine outside the working set that the wider look takes stays open for a whole life.
+constexpr double kOpening = 4;                 // times the price of machines in use; twelve did no more
 constexpr std::uint64_t kDraws = 8 * kSample;  // to find so many with room; past it the fleet is full
 
 Machine* Placer::pick(Nanos now, Container& c, bool under_bound) {
