--- a/apps/migrate.cpp
+++ b/apps/migrate.cpp
@@ -17,12 +17,15 @@
 namespace {
 
 bool read(const std::string& path, whinpost::migrate::File& into) {
+    // A folder opens like a file, and throws when it is read.
     std::error_code none;
     std::ifstream in(path, std::ios::binary);
+    if (!in || std::filesystem::is_directory(path, none)) {
+        std::cerr << path << ":0: file: can't be read\n";
+        return false;
+    }
     into = {path, {std::istreambuf_iterator<char>(in), {}}};
-    if (in && !std::filesystem::is_directory(path, none)) return true;
-    std::cerr << path << ":0: file: can't be read\n";
-    return false;
+    return true;
 }
 
 // Written beside its place, then linked there: the link fails where a file stands, so none is overwritten,
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <sstream>
@@ -59,8 +60,10 @@
 }
 
 Document Document::read(const std::string& path) {
+    std::error_code none;
     std::ifstream in(path, std::ios::binary);
-    if (!in) {
+    if (!in ||
+        std::filesystem::is_directory(path, none)) {  // a folder opens like a file, and throws when read
         auto s = std::make_unique<State>();
         s->name = path;
         s->add(0, "file", "can't be read");
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -114,3 +114,19 @@
     CHECK(all.find("d.toml:2: fleet.zones: is missing") != std::string::npos);
     CHECK(all.find("d.toml:7: fault[0].zone: must be one of fleet.zones") != std::string::npos);
 }
+
+TEST_CASE("a folder in a file's place is a problem, not a crash") {
+    config::Document d = config::Document::read(WHINPOST_SOURCE);
+    const std::vector<std::string> found = config::check(d);
+    REQUIRE_FALSE(found.empty());
+    CHECK(found[0].find(":0: file: can't be read") != std::string::npos);
+}
+
+TEST_CASE("a file that says nothing of notes of pressure means that they come") {
+    config::Document d = config::Document::parse(kGood, "f.toml");
+    CHECK(config::acceptance(d.root()).notes_pressure);
+    config::Document other =
+        config::Document::parse(std::string(kGood) + "[acceptance]\nnotes_pressure = false\n", "f.toml");
+    CHECK_FALSE(config::acceptance(other.root()).notes_pressure);
+    CHECK(config::check(other).empty());
+}
--- a/tests/migrate_test.cpp
+++ b/tests/migrate_test.cpp
@@ -194,6 +194,8 @@
     CHECK(f.get("said").find("acceptance.free_means") != std::string::npos);
     CHECK(f.run("none.toml --shape shape.toml --out third.toml") == 2);
     CHECK(f.get("wrong").find("none.toml:0: file: can't be read") != std::string::npos);
+    CHECK(f.run("old.toml --shape . --out third.toml") == 2);
+    CHECK(f.get("wrong").find(".:0: file: can't be read") != std::string::npos);
     CHECK(f.run("old.toml --shape shape.toml --out no/such/folder.toml") == 2);
     CHECK(f.get("wrong").find("folder.toml:0: file: can't be written") != std::string::npos);
     CHECK(f.files() == 6);
