--- a/fuzz/files.cpp
+++ b/fuzz/files.cpp
@@ -1,10 +1,32 @@
-// Any text as a placer's file or a day's script: values in range, or problems that name the file; never a
-// crash.
+// Any text as a placer's file, as a shape to move one to, or a day's script: values in range, or problems
+// that name the file; never a crash.
 #include "config/placer_file.h"
+#include "migrate/migrate.h"
 #include "standin/day.h"
 
 using namespace whinpost;
 
+namespace {
+constexpr const char* kOld = R"([placer]
+name = "p"
+listen = "127.0.0.1:7400"
+zone = "a"
+zones = ["a"]
+[list]
+address = "127.0.0.1:7500"
+[[machine_kind]]
+name = "std"
+cores = 16
+memory = 32
+[[queue_group]]
+name = "g"
+effect = "idempotent"
+start_target_ms = 800
+[links]
+drain_grace_ms = 900
+)";
+}  // namespace
+
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
     const std::string text(reinterpret_cast<const char*>(data), size);
     config::Document d = config::Document::parse(text, "f");
@@ -22,5 +44,9 @@
     std::vector<std::string> problems;
     const standin::Plan plan = standin::parse_plan(text, "f", problems);
     if (problems.empty() && (plan.loads.empty() || plan.nodes == 0)) __builtin_trap();
+    // What stands as an old file or as a shape gives a file that passes, or problems.
+    for (const auto& c : {migrate::counterpart({"f", kOld}, {"f", text}, "n"),
+                          migrate::counterpart({"f", text}, {"f", text}, "n")})
+        if (c.problems.empty() == c.text.empty()) __builtin_trap();
     return 0;
 }
--- a/fuzz/run.sh
+++ b/fuzz/run.sh
@@ -12,6 +12,9 @@
 rm -rf "$corpus"
 build-fuzz/fuzz/fuzz_corpus "$corpus"
 cp standin/days/*.toml "$corpus/files/"
+# A shape is what a day says of the deployment, less the tables that only days have.
+printf '[[machine_kind]]\nname = "std"\ncores = 8\nmemory = 16\n[[queue_group]]\nname = "g"\neffect = "idempotent"\nstart_target_ms = 5\n[links]\ndrain_grace_ms = 50\n' \
+    >"$corpus/files/shape.toml"
 pids=()
 for target in owner_door node_door list_door files; do
     build-fuzz/fuzz/fuzz_$target "${bound[@]}" -timeout=20 -rss_limit_mb=2048 -verbosity=0 \
