One check of a whole file, one reader of files, one way that a link hears of reading

From reading the change again; behaviour as before. config::check is what run, check and migrate all hold a file to (Embedded::make had a second copy of the rule on equal addresses, and check built a placer to throw it away); text_of reads a file for Document::read and migrate; Link::forget and received share read_up_to; migrate's look-up by name is one function.

--- a/apps/embedded.cpp
+++ b/apps/embedded.cpp
@@ -27,8 +27,7 @@
       ledger(make_ledger ? make_ledger(terms_of(groups), launches, cold)
                          : std::make_unique<ledger::Ledger>(terms_of(groups), launches, cold)),
       edge(loop, log, {me.name, incarnation, seed}, *ledger, intake, names, kinds.size(), links,
-           dials.at_once, dials.a_second, !accepts.reports_use,
-           cold.warm_after + cold.window),
+           dials.at_once, dials.a_second, !accepts.reports_use, cold.warm_after + cold.window),
       planner(edge, seed, me.zone, terms_of(groups), kinds, accepts, cold, at.terms, launches, prices) {
     edge.plan_with(planner);
 }
@@ -36,6 +35,8 @@
 std::unique_ptr<Embedded> Embedded::make(net::Loop& loop, config::Document& file, std::uint64_t seed,
                                          std::uint64_t incarnation, std::vector<std::string>& problems,
                                          const MakeLedger& make_ledger) {
+    problems = config::check(file);
+    if (!problems.empty()) return nullptr;
     config::Table root = file.root();
     const config::Named me = config::placer(root);
     const std::vector<MachineKind> kinds = config::machine_kinds(root);
@@ -49,10 +50,6 @@
     const link::Terms links = config::link_terms(root);
     const config::Dialling dials = config::dialling(root);
     const config::Saying says = config::saying(root);
-    if (!me.listen.empty() && me.listen == at.address)
-        root.table("list").wrong("address", "is the address that placer.listen has");
-    problems = file.problems();
-    if (!problems.empty()) return nullptr;
     return std::unique_ptr<Embedded>(new Embedded(loop, me, groups, kinds, accepts, cold, at, launches,
                                                   prices, limits, links, dials, says,
                                                   me.seed ? me.seed : seed, incarnation, make_ledger));
--- a/apps/migrate.cpp
+++ b/apps/migrate.cpp
@@ -6,10 +6,9 @@
 #include <cerrno>
 #include <cstring>
 #include <filesystem>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 
+#include "config/document.h"
 #include "migrate/migrate.h"
 
 namespace whinpost::apps {
@@ -17,15 +16,10 @@
 namespace {
 
 bool read(const std::string& path, whinpost::migrate::File& into) {
-    // A folder opens like a file, and throws when it is read.
-    std::error_code none;
-    std::ifstream in(path, std::ios::binary);
-    if (!in || std::filesystem::is_directory(path, none)) {
-        std::cerr << path << ":0: file: can't be read\n";
-        return false;
-    }
-    into = {path, {std::istreambuf_iterator<char>(in), {}}};
-    return true;
+    const std::optional<std::string> text = config::text_of(path);
+    if (text) into = {path, *text};
+    else std::cerr << path << ":0: file: can't be read\n";
+    return text.has_value();
 }
 
 // Written beside its place, then linked there: the link fails where a file stands, so none is overwritten,
@@ -57,7 +51,8 @@
 int migrate(const std::string& old_path, const std::string& shape_path, const std::string& new_path,
             bool dry_run) {
     whinpost::migrate::File old, shape;
-    if (!read(old_path, old) | !read(shape_path, shape)) return 2;
+    const bool old_read = read(old_path, old), shape_read = read(shape_path, shape);  // both are told of
+    if (!old_read || !shape_read) return 2;
     const whinpost::migrate::Counterpart c = whinpost::migrate::counterpart(old, shape, new_path);
     for (const std::string& p : c.problems) std::cerr << p << '\n';
     if (!c.problems.empty()) return 2;
--- a/apps/whinpost_main.cpp
+++ b/apps/whinpost_main.cpp
@@ -21,15 +21,11 @@
 using namespace whinpost;
 
 int check(const std::string& path) {
-    net::EventLoop loop;
     config::Document file = config::Document::read(path);
-    std::vector<std::string> problems;
-    if (apps::Embedded::make(loop, file, 1, 1, problems)) {
-        std::cout << path << ": ok\n";
-        return 0;
-    }
+    const std::vector<std::string> problems = config::check(file);
     for (const std::string& p : problems) std::cerr << p << '\n';
-    return 1;
+    if (problems.empty()) std::cout << path << ": ok\n";
+    return problems.empty() ? 0 : 1;
 }
 
 int run(const std::string& path) {
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -59,18 +59,23 @@
     return Document(std::move(s));
 }
 
-Document Document::read(const std::string& path) {
+std::optional<std::string> text_of(const std::string& path) {
     std::error_code none;
     std::ifstream in(path, std::ios::binary);
-    if (!in ||
-        std::filesystem::is_directory(path, none)) {  // a folder opens like a file, and throws when read
+    // A folder opens like a file, and throws when it is read.
+    if (!in || std::filesystem::is_directory(path, none)) return std::nullopt;
+    return std::string(std::istreambuf_iterator<char>(in), {});
+}
+
+Document Document::read(const std::string& path) {
+    const std::optional<std::string> text = text_of(path);
+    if (!text) {
         auto s = std::make_unique<State>();
         s->name = path;
         s->add(0, "file", "can't be read");
         return Document(std::move(s));
     }
-    std::string text{std::istreambuf_iterator<char>(in), {}};
-    return parse(text, path);
+    return parse(*text, path);
 }
 
 Table Document::root() { return Table(state_.get(), &state_->root, ""); }
--- a/src/config/document.h
+++ b/src/config/document.h
@@ -4,6 +4,7 @@
 #pragma once
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -16,6 +17,9 @@
 
 class Table;
 
+// The whole text of a file; nothing where it can't be read, as a folder can't.
+std::optional<std::string> text_of(const std::string& path);
+
 class Document {
 public:
     static Document read(const std::string& path);  // a file that can't be read or parsed is one problem
--- a/src/config/placer_file.h
+++ b/src/config/placer_file.h
@@ -44,7 +44,7 @@
 link::Terms link_terms(Table root);
 Dialling dialling(Table root);
 Saying saying(Table root);
-// All of them, for what is wrong alone.
+// All of them, for what is wrong alone: a file that passes can be run.
 std::vector<std::string> check(Document&);
 
 }  // namespace whinpost::config
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -588,9 +588,10 @@
         return;
     }
     if (NodePeer* peer = nodes_->find(l.node->name)) {
-        peer->link.forget(l, how != Ending::timed_out && how != Ending::cancelled);
+        const bool given_up = how == Ending::timed_out || how == Ending::cancelled;
+        peer->link.forget(l, !given_up);
         if (how == Ending::unsent) taker_.unsent(peer->cold);
-        if (how == Ending::timed_out || how == Ending::cancelled) {
+        if (given_up) {
             // Best effort, so that no copy stands idle; one that may not run twice is left for its owner to
             // decide on.
             if (r.group->effect == Effect::idempotent && !l.accepted) stop(l);
--- a/src/link/link.cpp
+++ b/src/link/link.cpp
@@ -182,10 +182,7 @@
     it->launch = nullptr;
     if (!answered) return;
     // A node that answers has read it and all before it, also one that never says so.
-    const auto read = it - unreceived_.begin() + 1;
-    unreceived_.erase(unreceived_.begin(), unreceived_.begin() + read);
-    received_ += static_cast<std::uint64_t>(read);
-    if (unreceived_.empty()) cut_at_ = 0;
+    read_up_to(received_ + static_cast<std::uint64_t>(it - unreceived_.begin()) + 1);
 }
 
 void Link::adopt(ledger::Launch& l) {
@@ -266,12 +263,17 @@
     asked_at_ = 0;
 }
 
-void Link::received(Nanos now, std::uint64_t launches) {
+// Of the launches written on this connection the node has read so many.
+void Link::read_up_to(std::uint64_t launches) {
     while (received_ < launches && !unreceived_.empty()) {
         unreceived_.pop_front();
         ++received_;
     }
     if (unreceived_.empty()) cut_at_ = 0;
+}
+
+void Link::received(Nanos now, std::uint64_t launches) {
+    read_up_to(launches);
     pump(now);
 }
 
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -142,6 +142,7 @@
     };
     void add_out(ledger::Launch&);
     void drop_out(ledger::Launch&);
+    void read_up_to(std::uint64_t launches);
     void try_dial(Nanos now);
     void pump(Nanos now);
     void pause(Nanos now);
--- a/src/migrate/migrate.cpp
+++ b/src/migrate/migrate.cpp
@@ -31,6 +31,13 @@
     return f.name + ":" + std::to_string(n.source().begin.line) + ": " + key;
 }
 
+std::string called(const toml::node& n) { return n.as_table()->at("name").value_or(std::string()); }
+const toml::table* named(const toml::array& all, const std::string& name) {
+    for (const toml::node& n : all)
+        if (called(n) == name) return n.as_table();
+    return nullptr;
+}
+
 // What is wrong with the shape by itself, in its own lines.
 std::vector<std::string> wrong_with(const File& shape) {
     config::Document d = config::Document::parse(shape.text, shape.name);
@@ -66,15 +73,7 @@
             if (!from.contains(key.str()))
                 out.replaced.push_back(path + "." + std::string(key.str()) + ": new, " + shown(node));
     }
-    const toml::table* named(const toml::array& all, const std::string& name) {
-        for (const toml::node& n : all)
-            if (n.as_table()->at("name").value_or(std::string()) == name) return n.as_table();
-        return nullptr;
-    }
     void list(const toml::array& from, const toml::array& to, const std::string& path) {
-        const auto called = [](const toml::node& n) {
-            return n.as_table()->at("name").value_or(std::string());
-        };
         for (const toml::node& n : from) {
             const std::string name = path + "." + called(n);
             if (const toml::table* now = named(to, called(n))) table(*n.as_table(), *now, name);
