--- a/apps/platform.cpp
+++ b/apps/platform.cpp
@@ -41,7 +41,7 @@
     ledger::Ledger ledger(groups, launches, cold);
     platform::Front front(loop, log, ledger, terms::group_names(settings), kinds, kind_names,
                           texts(settings.list("zones")), settings.micros("limits.dial_timeout_us"),
-                          settings.micros("limits.conn_idle_us") / 2, told->sockets(), told->seed());
+                          settings.micros("limits.conn_idle_us"), told->sockets(), told->seed());
     planner::Planner planner(front, told->seed(), terms::zone(settings), groups, kinds,
                              terms::acceptance(settings), cold, terms::list_terms(settings), launches,
                              terms::prices(settings));
--- a/src/platform/hosts.cpp
+++ b/src/platform/hosts.cpp
@@ -19,10 +19,11 @@
 constexpr Nanos kHalfMessage = 300 * kMillisecond;
 // Written and not in the kernel's hands: past it launches wait here, where they can still be taken back.
 constexpr std::size_t kMostUnsent = 8 << 10;
-// Containers that run send notes about once a second: so long without a word, and a new connection is tried.
-constexpr Nanos kSilent = 2500 * kMillisecond;
+// Containers that run send notes every few seconds: so long without a word, and a new connection is tried,
+// which comes up if the machine is there.
+constexpr Nanos kSilent = 3500 * kMillisecond;
 // So long without a word and without a connection, and what stood there is over. PROTOCOL leaves 8 s.
-constexpr Nanos kLost = 5 * kSecond;
+constexpr Nanos kLost = 5500 * kMillisecond;
 constexpr Nanos kDialPause = 150 * kMillisecond, kMostDialPause = kSecond;
 constexpr int kRefusedForGood = 3;  // dials in a row: no process listens there, and its tasks died with it
 constexpr Nanos kLastWords = 1500 * kMillisecond;  // of a host that has left
@@ -176,6 +177,16 @@
 
 void Connection::heard(const Message& m) {
     HostUser& user = host_.user_;
+    if (host_.log_.says(log::Level::debug))
+        host_.log_(log::Level::debug, "host_says",
+                   {{"host", host_.name_},
+                    {"type", static_cast<int>(m.type)},
+                    {"task", m.task},
+                    {"cause", m.cause ? static_cast<int>(*m.cause) : -1},
+                    {"notes", m.notes.value_or("-")},
+                    {"figure", m.figure.value_or("-")},
+                    {"report", m.report.value_or("-")},
+                    {"description", m.description ? static_cast<int>(m.description->size()) : -1}});
     switch (m.type) {
         case Type::answer: {
             const auto it = launches_.find(m.task);
@@ -313,8 +324,10 @@
 }
 
 Connection* Host::current() {
-    for (const auto& c : connections_)
-        if (c->usable()) return c.get();
+    // One that was idle for long may be closed while a launch is on its way, which would leave that in doubt.
+    for (auto it = connections_.rbegin(); it != connections_.rend(); ++it)
+        if ((*it)->usable() && ((*it)->busy() || loop_.now() - (*it)->used_ < idle_ * 8 / 10))
+            return it->get();
     return nullptr;
 }
 
@@ -393,14 +406,15 @@
     bool up = false, dialling = false;
     for (std::size_t i = 0; i < connections_.size();) {
         Connection& c = *connections_[i];
-        const bool idle = !c.busy() && standing_.empty() && now - std::max(c.used_, c.heard_) > idle_;
-        const bool spent = c.retired && !c.busy() && now - c.used_ > kSecond;
-        const bool silent = c.up() && now - c.heard_ > kLost && !standing_.empty();
-        if (c.up() && (idle || spent || silent)) {
-            c.abandon(silent);
+        // A live one is never closed from here: the host's last words on what stands could be on their way.
+        // It closes idle ones itself, with all that it wrote before.
+        const bool forgotten = !c.busy() && now - std::max(c.used_, c.heard_) > 2 * idle_;
+        const bool useless = stage_ == Stage::gone && standing_.empty() && !c.busy();
+        if (c.up() && (forgotten || useless)) {
+            c.abandon(true);
             continue;
         }
-        up = up || (c.up() && !c.retired && now - c.heard_ <= kSilent);
+        up = up || (c.up() && now - c.heard_ <= kSilent);
         dialling = dialling || !c.up();
         ++i;
     }
@@ -413,8 +427,7 @@
     if (stage_ == Stage::gone && now - gone_at_ > kLastWords) return all_over("left");
     if (now - heard_ > kLost) return all_over("silent");
     if (now < dial_again_ || stage_ == Stage::gone)
-        return;                                            // a new host may have the address of one that left
-    for (const auto& c : connections_) c->retired = true;  // silent ones: the new one tells whether it lives
+        return;  // a new host may have the address of one that left
     dial();
     dial_again_ = now + kDialPause;
 }
--- a/src/platform/hosts.h
+++ b/src/platform/hosts.h
@@ -72,7 +72,7 @@
     std::deque<Task*> waiting_;                          // not written yet
     std::unordered_map<std::uint64_t, Task*> launches_;  // written, no end yet; looked up, and walked in
                                                          // order of id only
-    std::map<std::uint64_t, bool> given_up_;  // by id: whether a late yes is to be cut
+    std::map<std::uint64_t, bool> given_up_;             // by id: whether a late yes is to be cut
     std::set<std::uint64_t> tests_;
     std::vector<std::uint64_t> cuts_;  // to be written once it is up
 };
--- a/src/platform/owners.cpp
+++ b/src/platform/owners.cpp
@@ -54,6 +54,17 @@
         }
         done += used;
         if (!std::exchange(spoke_, true)) owners_.user_.owner_came(*this);
+        if (owners_.log_.says(log::Level::debug))
+            owners_.log_(log::Level::debug, "owner_says",
+                         {{"peer", stream_->peer()},
+                          {"type", static_cast<int>(m.type)},
+                          {"task", m.task},
+                          {"cause", m.cause ? static_cast<int>(*m.cause) : -1},
+                          {"class", m.group.value_or("-")},
+                          {"wait", m.wait.value_or("-")},
+                          {"name", m.name.value_or("-")},
+                          {"figures", m.figures.value_or("-")},
+                          {"description", m.description ? static_cast<int>(m.description->size()) : -1}});
         switch (m.type) {
             case Type::set_up:
                 owners_.user_.set_up(*this, m);
--- a/src/platform/set_up.cpp
+++ b/src/platform/set_up.cpp
@@ -32,17 +32,19 @@
     const auto group = std::find(group_names.begin(), group_names.end(), *m.group);
     if (group == group_names.end()) return "no such class";
     out.asked.group = static_cast<int>(group - group_names.begin());
+    const bool held =
+        m.figures && m.figures->find("at:") != std::string_view::npos;  // it waits for no answer
     std::int64_t wait = 0;
-    if (!m.wait || !number(*m.wait, wait) || wait < 0 || wait > kLongestWaitMs) return "no good wait";
+    if (!held && (!m.wait || !number(*m.wait, wait) || wait < 0 || wait > kLongestWaitMs))
+        return "no good wait";
     out.asked.time_left = wait * kMillisecond;
     if (!m.name || !hex(*m.name, 16)) return "no good name of the task";
     out.name = *m.name;
     if (groups[static_cast<std::size_t>(out.asked.group)].effect == Effect::fingerprinted &&
-        (!m.key || !hex(*m.key, 32)))
+        !(held && !m.key) && (!m.key || !hex(*m.key, 32)))
         return "no good key";
     if (m.key) out.key = *m.key;
-    if (!m.description || m.description->empty()) return "no description";
-    out.asked.came_again = m.retry && *m.retry == "1";
+    if (!held && (!m.description || m.description->empty())) return "no description";
     if (!m.figures) return "no figures";
     bool cores = false, memory = false;
     for (std::string_view rest = *m.figures; !rest.empty();) {
@@ -59,7 +61,8 @@
         } else if (name == "memory") {
             if (!amount(v, out.asked.memory)) return "memory that is no number";
             memory = true;
-        } else if (name == "service") out.service = v;
+        } else if (name == "again") out.asked.came_again = v == "1";
+        else if (name == "service") out.service = v;
         else if (name == "at") out.at = v;
         else if (name == "hint" || name == "life") {
             if (!amount(v, life) || life < 0 || life > 1e9) return "a life that is no number";
