--- a/src/platform/owners.cpp
+++ b/src/platform/owners.cpp
@@ -23,13 +23,15 @@
 }  // namespace
 
 Owner::Owner(Owners& owners, std::unique_ptr<net::Stream> s)
-    : owners_(owners), stream_(std::move(s)), peer_(host_of(stream_->peer())), since_(owners.loop_.now()) {}
+    : owners_(owners), stream_(std::move(s)), peer_(host_of(stream_->peer())), since_(owners.loop_.now()),
+      used_(since_) {}
 
 void Owner::write(const Message& m) {
     if (ended_) return;
     std::string bytes;
     signalling::append(bytes, m);
     stream_->write(bytes);
+    used_ = owners_.loop_.now();
     if (stream_->unsent() > kMostUnsent) end();  // it does not read
 }
 
@@ -53,6 +55,7 @@
             break;
         }
         done += used;
+        used_ = owners_.loop_.now();
         if (!std::exchange(spoke_, true)) owners_.user_.owner_came(*this);
         if (owners_.log_.says(log::Level::debug))
             owners_.log_(log::Level::debug, "owner_says",
@@ -107,8 +110,10 @@
     return listener_ ? std::string() : error;
 }
 
-// A full house makes room by showing out the one that has said nothing for the longest, else the one that has
-// nothing open for the longest; where all have, the new one goes.
+// A full house makes room by showing out the one that has said nothing for the longest, else, of those that
+// have nothing open, the one that was of no use for the longest; where all have, the new one goes. Guards
+// against owners that ask once and hold their connection for good: by age alone the busy ones went first, and
+// what stood for them could be told to nobody.
 void Owners::accept(std::unique_ptr<net::Stream> s) {
     if (owners_.size() >= most_) {
         const Nanos now = loop_.now();
@@ -118,7 +123,7 @@
                 out = o.get();
         if (!out)
             for (const auto& o : owners_)
-                if (o->spoke_ && !o->open_ && (!out || o->since_ < out->since_)) out = o.get();
+                if (o->spoke_ && !o->open_ && (!out || o->used_ < out->used_)) out = o.get();
         if (!out) return s->abort();
         out->stream_->abort();
         out->end();
--- a/src/platform/owners.h
+++ b/src/platform/owners.h
@@ -31,7 +31,7 @@
     Owners& owners_;
     std::unique_ptr<net::Stream> stream_;
     std::string peer_;
-    Nanos since_, half_since_ = 0;
+    Nanos since_, used_, half_since_ = 0;
     bool spoke_ = false, ended_ = false;
     int open_ = 0;  // set-ups that wait for their answer
 };
