Set-ups without an id are refused at the door

Seen on rude+garble+fleet: hosts answer error and close on a set-up with id 0, whatever else is open (116 closings, 271 launches in doubt). read_set_up refuses it.

--- a/src/platform/set_up.cpp
+++ b/src/platform/set_up.cpp
@@ -28,6 +28,9 @@
 std::string_view read_set_up(const signalling::Message& m, const std::vector<std::string>& group_names,
                              const std::vector<QueueGroup>& groups, MachineKind largest, SetUp& out) {
     out = {};
+    // No host can read a set-up without an id: it closes, and all else that is open on the connection is in
+    // doubt.
+    if (m.task == 0) return "no id";
     if (!m.group) return "no class";
     const auto group = std::find(group_names.begin(), group_names.end(), *m.group);
     if (group == group_names.end()) return "no such class";
