--- /dev/null
+++ b/tests/platform_rig.h
@@ -0,0 +1,258 @@
+// The platform's front in virtual time, among owners, hosts and a bus that say just what a test has them say.
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lab/sim.h"
+#include "planner/planner.h"
+#include "platform/front.h"
+
+namespace whinpost {
+
+using signalling::Message;
+using signalling::Type;
+
+// One end of a connection, by hand. What came is kept.
+struct Line : net::StreamUser {
+    struct Got {
+        Type type;
+        std::uint64_t task;
+        int cause;
+        std::string group, wait, name, key, description, stay_away;
+    };
+    std::size_t received(std::string_view in) override {
+        std::size_t done = 0;
+        for (;;) {
+            Message m;
+            std::size_t used = 0;
+            if (signalling::read(in.substr(done), m, used) != signalling::Read::whole) return done;
+            done += used;
+            const auto text = [](const std::optional<std::string_view>& v) { return std::string(v.value_or("")); };
+            got.push_back({m.type, m.task, m.cause ? *m.cause : -1, text(m.group), text(m.wait), text(m.name),
+                           text(m.key), text(m.description), text(m.stay_away)});
+        }
+    }
+    void closed(net::Closed) override {
+        over = true;
+        stream.reset();
+    }
+    void raw(std::string_view bytes) {
+        if (stream) stream->write(bytes);
+    }
+    void say(const Message& m) {
+        std::string bytes;
+        signalling::append(bytes, m);
+        raw(bytes);
+    }
+    void answer(std::uint64_t id, std::string_view description = "stands") {
+        Message m;
+        m.type = Type::answer;
+        m.task = id;
+        m.description = description;
+        say(m);
+    }
+    void release(std::uint64_t id, std::uint8_t cause, std::string_view why = {}) {
+        Message m;
+        m.type = Type::release;
+        m.task = id;
+        m.cause = cause;
+        if (!why.empty()) m.notes = why;
+        say(m);
+    }
+    std::vector<Got> all(Type t) const {
+        std::vector<Got> out;
+        for (const Got& g : got)
+            if (g.type == t) out.push_back(g);
+        return out;
+    }
+    std::size_t count(Type t, std::uint64_t id) const {
+        std::size_t n = 0;
+        for (const Got& g : got) n += g.type == t && g.task == id;
+        return n;
+    }
+    std::unique_ptr<net::Stream> stream;
+    std::vector<Got> got;
+    bool over = false;
+};
+
+struct PlatformRig {
+    struct HostAt {
+        std::string name, address;
+        lab::Process* process;
+        std::unique_ptr<net::Listener> listener;
+        std::vector<std::unique_ptr<Line>> conns;
+        // Every set-up that came, on any connection.
+        std::vector<Line::Got> launches() const {
+            std::vector<Line::Got> out;
+            for (const auto& c : conns)
+                for (const auto& g : c->all(Type::set_up)) out.push_back(g);
+            return out;
+        }
+        std::size_t count(Type t, std::uint64_t id) const {
+            std::size_t n = 0;
+            for (const auto& c : conns) n += c->count(t, id);
+            return n;
+        }
+        Line& last() { return *conns.back(); }
+    };
+    struct BusLine : net::StreamUser {
+        std::size_t received(std::string_view in) override {
+            asked += in;
+            return in.size();
+        }
+        void closed(net::Closed) override { stream.reset(); }
+        std::unique_ptr<net::Stream> stream;
+        std::string asked;
+    };
+
+    explicit PlatformRig(std::size_t descriptors = 256)
+        : placer(world.process("10.0.0.1")), bus_process(world.process("10.0.9.1")),
+          ledger(groups(), {4, true}, cold()),
+          front(placer, log, ledger, {"free", "marked", "once"}, kinds(), {"std"}, {"a", "b"},
+                250 * kMillisecond, 15 * kSecond, descriptors, 5),
+          planner(front, 5, 0, groups(), kinds(), Acceptance{2.5, 1.5, true, false, true, false, true}, cold(), {},
+                  {4, true}, {}) {
+        front.plan_with(planner);
+        open_bus("10.0.9.1:1");
+        REQUIRE(front.listen("10.0.0.1:3868").empty());
+    }
+    static std::vector<QueueGroup> groups() {
+        std::vector<QueueGroup> out(3);
+        for (QueueGroup& g : out) {
+            g.start_target = 800 * kMillisecond;
+            g.start_worth_s = 10;
+            g.calm = 0.8;
+            g.fade = 0.25;
+        }
+        out[1].effect = Effect::fingerprinted;
+        out[1].repeats_dropped_by = Place::cell;
+        out[1].repeat_window = 5 * kSecond;
+        out[2].effect = Effect::side_effecting;
+        return out;
+    }
+    static std::vector<MachineKind> kinds() { return {{16, 32}}; }
+    static ColdTerms cold() { return {0.25, 10 * kSecond, 3, 2 * kSecond, 40, 3, 0}; }
+
+    void open_bus(const std::string& address) {
+        std::string error;
+        bus_listeners.push_back(bus_process.listen(
+            address,
+            [this](std::unique_ptr<net::Stream> s) {
+                buses.push_back(std::make_unique<BusLine>());
+                net::Stream& stream = *s;
+                buses.back()->stream = std::move(s);
+                bus_process.use(stream, *buses.back());
+                tell_raw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
+            },
+            error));
+        REQUIRE(bus_listeners.back());
+    }
+    void start(const std::string& address = "10.0.9.1:1") {
+        front.bus().follow(address, 0);
+        run(50 * kMillisecond);
+    }
+    void tell_raw(std::string_view bytes) {
+        if (!buses.empty() && buses.back()->stream) buses.back()->stream->write(bytes);
+    }
+    static std::string entry(const HostAt& h, const char* state = "active") {
+        return R"({"host":")" + h.name + R"(","dial":")" + h.address +
+               R"(","site":"a","class":"std","block":1,"health":")" + state +
+               R"(","share":1,"born_ms":0,"free":[16,32]})";
+    }
+    std::string event(const std::vector<std::string>& entries, bool whole = false) {
+        std::string list;
+        for (const std::string& e : entries) list += (list.empty() ? "" : ",") + e;
+        const std::string n = std::to_string(++events);
+        return "id: " + n + "\ndata: {\"offset\":" + n + R"(,"topology":{"seq":1,"whole":)" +
+               (whole ? "true" : "false") + R"(,"hosts":[)" + list + "]}}\n\n";
+    }
+    void tell(const std::vector<std::string>& entries, bool whole = false) {
+        tell_raw(event(entries, whole));
+        run(20 * kMillisecond);
+    }
+    // The bus stays alive: a comment comes every second.
+    void run(Nanos by) {
+        for (const Nanos until = world.now() + by; world.now() < until;) {
+            const Nanos step = std::min(until, next_comment);
+            world.run_until(step);
+            if (world.now() >= next_comment) {
+                if (comments) tell_raw(": here\n");
+                next_comment = world.now() + kSecond;
+            }
+        }
+    }
+    HostAt& host(const std::string& name) {
+        HostAt& h = hosts[name];
+        h.name = name;
+        const std::string at = "10.0.1." + std::to_string(hosts.size());
+        h.address = at + ":3868";
+        h.process = &world.process(at);
+        listen(h);
+        return h;
+    }
+    void listen(HostAt& h) {
+        std::string error;
+        h.listener = h.process->listen(
+            h.address,
+            [this, &h](std::unique_ptr<net::Stream> s) {
+                h.conns.push_back(std::make_unique<Line>());
+                net::Stream& stream = *s;
+                h.conns.back()->stream = std::move(s);
+                h.process->use(stream, *h.conns.back());
+            },
+            error);
+        REQUIRE(h.listener);
+    }
+    Line& owner(int number = 1) {
+        lab::Process*& p = owner_processes[number];
+        if (!p) p = &world.process("10.0.2." + std::to_string(number));
+        owners.push_back(std::make_unique<Line>());
+        Line& l = *owners.back();
+        l.stream = p->dial("10.0.0.1:3868", l);
+        run(5 * kMillisecond);
+        return l;
+    }
+    // A set-up as a good owner sends it.
+    void ask(Line& o, std::uint64_t id, const std::string& group = "free", int wait_ms = 5000,
+             const std::string& more = "") {
+        Message m;
+        m.type = Type::set_up;
+        m.task = id;
+        const std::string wait = std::to_string(wait_ms), name = name_of(id),
+                          figures = "cores:1;memory:2;service:00000000b4d65521" + more;
+        m.group = group;
+        m.wait = wait;
+        m.name = name;
+        m.figures = figures;
+        m.description = "asked";
+        if (group == "marked") m.key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+        o.say(m);
+        run(60 * kMillisecond);
+    }
+    static std::string name_of(std::uint64_t id) {
+        std::string out(16, '0');
+        for (std::size_t i = 16; i-- > 0; id >>= 4) out[i] = "0123456789abcdef"[id & 15];
+        return out;
+    }
+
+    lab::World world{1};
+    lab::Process& placer;
+    lab::Process& bus_process;
+    log::Log log;
+    ledger::Ledger ledger;
+    platform::Front front;
+    planner::Planner planner;
+    std::vector<std::unique_ptr<net::Listener>> bus_listeners;
+    std::vector<std::unique_ptr<BusLine>> buses;
+    std::map<std::string, HostAt> hosts;
+    std::map<int, lab::Process*> owner_processes;
+    std::vector<std::unique_ptr<Line>> owners;
+    std::int64_t events = 0;
+    Nanos next_comment = world.now() + kSecond;
+    bool comments = true;
+};
+
+}  // namespace whinpost
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,366 @@
+// The platform's front: what goes wrong between a placer and its owners, hosts and event bus, each caused on
+// purpose, in virtual time.
+#include <catch2/catch.hpp>
+
+#include "platform_rig.h"
+
+using namespace whinpost;
+
+namespace {
+
+// One host, listed, and one owner.
+struct One : PlatformRig {
+    explicit One(std::size_t descriptors = 256) : PlatformRig(descriptors), h(host("h")), o(owner()) {
+        start();
+        tell({entry(h)}, true);
+    }
+    HostAt& h;
+    Line& o;
+};
+
+std::size_t answers(const Line& o, std::uint64_t id) { return o.count(Type::answer, id) + o.count(Type::release, id); }
+
+}  // namespace
+
+TEST_CASE("a container is launched with its owner's words, and the host's yes and end pass on") {
+    One t;
+    t.ask(t.o, 0x8c1f30d27a5be964, "marked");
+    REQUIRE(t.h.launches().size() == 1);
+    const Line::Got l = t.h.launches()[0];
+    CHECK(l.task == 0x8c1f30d27a5be964);
+    CHECK(l.group == "marked");
+    CHECK(l.name == "8c1f30d27a5be964");
+    CHECK(l.key == "5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
+    CHECK(l.description == "asked");
+    CHECK(std::stoi(l.wait) > 0);
+    t.h.last().answer(l.task, "it stands at h");
+    t.run(20 * kMillisecond);
+    REQUIRE(t.o.all(Type::answer).size() == 1);
+    CHECK(t.o.all(Type::answer)[0].description == "it stands at h");
+    t.h.last().release(l.task, signalling::kOk);
+    t.run(20 * kMillisecond);
+    REQUIRE(t.o.all(Type::release).size() == 1);
+    CHECK(t.o.all(Type::release)[0].cause == signalling::kOk);
+    CHECK(t.front.tasks() == 0);
+    CHECK(t.ledger.open() == 0);
+}
+
+TEST_CASE("a late yes of a launch given up: cut where a repeat may stand elsewhere, else left") {
+    One t;
+    const std::string group = GENERATE("free", "marked", "once");
+    t.ask(t.o, 7, group, 1000);
+    REQUIRE(t.h.launches().size() == 1);
+    t.run(1500 * kMillisecond);
+    CHECK(answers(t.o, 7) == 1);
+    CHECK(t.o.count(Type::answer, 7) == 0);
+    const std::size_t before = t.h.count(Type::release, 7);
+    CHECK(before >= 1);  // given up
+    t.h.conns[0]->answer(7);
+    t.run(50 * kMillisecond);
+    CHECK(t.h.count(Type::release, 7) - before == (group == "free" ? 1u : 0u));
+    CHECK(answers(t.o, 7) == 1);
+}
+
+TEST_CASE("a second launch of one container to one host leaves on another connection") {
+    One t;
+    t.ask(t.o, 7, "free", 5000);
+    REQUIRE(t.h.launches().size() == 1);
+    for (int i = 0; i < 400 && t.h.launches().size() < 2; ++i) t.run(10 * kMillisecond);
+    REQUIRE(t.h.launches().size() == 2);
+    REQUIRE(t.h.conns.size() == 2);
+    CHECK(t.h.conns[1]->count(Type::set_up, 7) == 1);
+    t.h.conns[0]->answer(7, "the first one's");  // of the launch that was given up
+    t.run(20 * kMillisecond);
+    CHECK(t.o.count(Type::answer, 7) == 0);
+    t.h.conns[1]->answer(7, "the second one's");
+    t.run(20 * kMillisecond);
+    REQUIRE(t.o.all(Type::answer).size() == 1);
+    CHECK(t.o.all(Type::answer)[0].description == "the second one's");
+}
+
+TEST_CASE("spoilt bytes end a connection: its launches are in doubt, what stands does not end") {
+    One t;
+    const std::string bytes = GENERATE(std::string("\xff\xff garbage, no message"), std::string("\x00\x03\x09xy", 5),
+                                       std::string("\x00\x40\x09half", 7));
+    t.ask(t.o, 1);
+    t.h.last().answer(1);
+    t.run(20 * kMillisecond);
+    t.ask(t.o, 2, "once");
+    REQUIRE(t.h.launches().size() == 2);
+    t.h.last().raw(bytes);
+    t.run(600 * kMillisecond);
+    CHECK(t.h.conns[0]->over);
+    CHECK(t.h.launches().size() == 2);  // side-effecting: it may have run
+    REQUIRE(t.o.count(Type::release, 2) == 1);
+    CHECK(t.o.all(Type::release)[0].cause != signalling::kTryLater);
+    CHECK(t.o.count(Type::release, 1) == 0);
+    REQUIRE(t.h.conns.size() == 2);  // dialled again for what stands
+    t.h.conns[1]->release(1, signalling::kReset, "evicted");
+    t.run(20 * kMillisecond);
+    CHECK(t.o.count(Type::release, 1) == 1);
+}
+
+TEST_CASE("a stray answer in front and a second copy change nothing") {
+    One t;
+    t.ask(t.o, 1);
+    t.h.last().answer(99);
+    t.h.last().answer(1, "first");
+    t.h.last().answer(1, "second");
+    t.run(20 * kMillisecond);
+    REQUIRE(t.o.all(Type::answer).size() == 1);
+    CHECK(t.o.all(Type::answer)[0].description == "first");
+    CHECK(t.o.all(Type::answer)[0].task == 1);
+    CHECK(!t.h.conns[0]->over);
+}
+
+TEST_CASE("a refused connection proves that nothing ran, a reset proves nothing") {
+    One t;
+    const bool refused = GENERATE(true, false);
+    if (refused) t.h.listener.reset();
+    t.ask(t.o, 5, "once", 2000);
+    if (!refused) {
+        REQUIRE(t.h.launches().size() == 1);
+        t.h.last().stream->abort();
+        t.h.last().stream.reset();
+    }
+    t.run(2 * kSecond);
+    REQUIRE(t.o.all(Type::release).size() == 1);
+    CHECK((t.o.all(Type::release)[0].cause == signalling::kTryLater) == refused);
+}
+
+TEST_CASE("what stood on a machine that vanished is released within 8 s, on one whose process died at once") {
+    One t;
+    const bool vanished = GENERATE(true, false);
+    t.ask(t.o, 1);
+    t.h.last().answer(1);
+    t.run(kSecond);
+    if (vanished) t.world.vanish(*t.h.process);
+    else t.world.kill(*t.h.process);
+    t.run(vanished ? 3 * kSecond : 2 * kSecond);
+    CHECK(t.o.count(Type::release, 1) == (vanished ? 0u : 1u));
+    t.run(4900 * kMillisecond);
+    CHECK(t.o.count(Type::release, 1) == 1);
+    CHECK(t.front.tasks() == 0);
+}
+
+TEST_CASE("a host that is merely quiet keeps its connection: its last words may be on their way") {
+    One t;
+    t.ask(t.o, 1);
+    t.h.last().answer(1);
+    t.run(12 * kSecond);
+    CHECK(!t.h.conns[0]->over);
+    CHECK(t.o.count(Type::release, 1) == 0);
+    t.h.conns[0]->release(1, signalling::kOk);
+    t.run(20 * kMillisecond);
+    CHECK(t.o.count(Type::release, 1) == 1);
+}
+
+TEST_CASE("owners that ask once and hold their connection do not push out the one that is of use") {
+    One t(128);
+    t.ask(t.o, 1, "free", 5000);
+    t.h.last().answer(1);
+    t.run(20 * kMillisecond);
+    std::uint64_t id = 1000;
+    for (int i = 0; i < 150; ++i) {
+        Line& once = t.owner(2 + i);
+        t.ask(once, ++id, "free", 5000);
+        t.h.last().release(id, signalling::kError);
+        if (i % 20 == 0) t.ask(t.o, ++id, "nothing known");  // refused at the door, and a sign of life
+    }
+    CHECK(!t.o.over);
+    CHECK(t.front.connections() < 128);
+    t.h.conns[0]->release(1, signalling::kOk);
+    t.run(20 * kMillisecond);
+    CHECK(t.o.count(Type::release, 1) == 1);
+}
+
+TEST_CASE("a release whose owner has no connection open finds the next one from there") {
+    One t;
+    t.ask(t.o, 1);
+    t.h.last().answer(1);
+    t.run(20 * kMillisecond);
+    t.o.stream.reset();
+    t.run(20 * kMillisecond);
+    t.h.last().release(1, signalling::kOk);
+    t.run(2 * kSecond);
+    Line& stranger = t.owner(2);
+    t.ask(stranger, 50, "nothing known");
+    CHECK(stranger.count(Type::release, 1) == 0);
+    Line& back = t.owner(1);
+    t.ask(back, 51, "nothing known");
+    CHECK(back.count(Type::release, 1) == 1);
+}
+
+TEST_CASE("a release by the owner cuts the container at its host and is owed nothing") {
+    One t;
+    t.ask(t.o, 1);
+    t.h.last().answer(1);
+    t.run(20 * kMillisecond);
+    t.o.release(1, signalling::kCancelled);
+    t.run(20 * kMillisecond);
+    CHECK(t.h.count(Type::release, 1) == 1);
+    t.h.last().release(1, signalling::kCancelled);
+    t.run(20 * kMillisecond);
+    CHECK(t.o.count(Type::release, 1) == 0);
+    CHECK(t.front.tasks() == 0);
+}
+
+TEST_CASE("an owner that gives up, or goes, is owed no answer, and its launch is given up") {
+    One t;
+    const bool goes = GENERATE(true, false);
+    t.ask(t.o, 1);
+    REQUIRE(t.h.launches().size() == 1);
+    if (goes) t.o.stream.reset();
+    else t.o.release(1, signalling::kGivenUp);
+    t.run(20 * kMillisecond);
+    CHECK(t.h.count(Type::release, 1) == 1);
+    CHECK(answers(t.o, 1) == 0);
+    CHECK(t.front.tasks() == 0);
+    CHECK(t.planner.open() == 0);
+}
+
+TEST_CASE("what runs already is taken over, also before its host is listed, and once only") {
+    PlatformRig t;
+    t.start();
+    PlatformRig::HostAt& h = t.host("h");
+    Line& o = t.owner();
+    const bool early = GENERATE(true, false);
+    if (!early) t.tell({PlatformRig::entry(h)}, true);
+    t.ask(o, 1, "free", 4294967, ";at:h");
+    t.ask(o, 1, "free", 4294967, ";at:h");
+    if (early) t.tell({PlatformRig::entry(h)}, true);
+    CHECK(o.got.empty());
+    CHECK(t.front.tasks() == 1);
+    t.run(50 * kMillisecond);
+    CHECK(h.launches().empty());
+    REQUIRE(h.conns.size() == 1);  // its end may come on any connection, so there is one
+    h.last().release(1, signalling::kOk);
+    t.run(20 * kMillisecond);
+    CHECK(o.count(Type::release, 1) == 1);
+}
+
+TEST_CASE("bad clients get a refusal or a close, no launch, and cost the others nothing") {
+    One t;
+    Line& bad = t.owner(2);
+    t.ask(bad, 10, "no such class");
+    CHECK(bad.count(Type::release, 10) == 1);
+    t.ask(bad, 0);  // no id: a host closes on it, whatever else is open there
+    CHECK(bad.count(Type::release, 0) == 1);
+    t.ask(bad, 11, "free", -5);
+    CHECK(bad.count(Type::release, 11) == 1);
+    CHECK(t.h.launches().empty());
+    t.ask(t.o, 12);
+    REQUIRE(t.h.launches().size() == 1);
+    t.ask(bad, 12);  // an open id of another's
+    CHECK(bad.count(Type::release, 12) == 1);
+    CHECK(t.o.count(Type::release, 12) == 0);
+    Line& twice = t.owner(3);
+    t.ask(twice, 20);
+    t.ask(twice, 20, "once");
+    CHECK(twice.over);
+    CHECK(twice.count(Type::answer, 20) == 0);
+    Line &noise = t.owner(4), &silent = t.owner(5), &half = t.owner(6);
+    noise.raw("GET / HTTP/1.1\r\n\r\n");
+    half.raw(std::string("\x00\x20\x01\x01", 4));
+    t.run(2200 * kMillisecond);
+    CHECK(noise.over);
+    CHECK(silent.over);
+    CHECK(half.over);
+    t.h.conns[0]->answer(12);
+    t.run(20 * kMillisecond);
+    CHECK(t.o.count(Type::answer, 12) == 1);
+}
+
+TEST_CASE("a client that reads nothing holds bounded memory") {
+    One t;
+    Line& deaf = t.owner(2);
+    deaf.stream->read(false);
+    for (int i = 0; i < 40; ++i) {
+        std::string flood;
+        for (std::uint64_t k = 0; k < 200; ++k) {
+            Message m;
+            m.type = Type::test;
+            m.task = k;
+            m.cause = 0;
+            signalling::append(flood, m);
+        }
+        deaf.raw(flood);
+        t.run(5 * kMillisecond);
+    }
+    t.run(kSecond);
+    CHECK(t.front.connections() <= 2);
+}
+
+TEST_CASE("the bus breaks mid-event, repeats events, falls silent, moves: asked again with the last number") {
+    PlatformRig t;
+    t.start();
+    PlatformRig::HostAt &a = t.host("a"), &b = t.host("b");
+    const std::string first = t.event({PlatformRig::entry(a)}, true), second = t.event({PlatformRig::entry(b)});
+    t.tell_raw(first + first + second.substr(0, second.size() / 2));
+    t.run(20 * kMillisecond);
+    CHECK(t.front.hosts() == 1);
+    CHECK(t.front.bus().last() == 1);
+    t.buses.back()->stream.reset();
+    t.run(500 * kMillisecond);
+    REQUIRE(t.buses.size() == 2);
+    CHECK(t.buses[1]->asked.find("Last-Event-ID: 1\r\n") != std::string::npos);
+    t.tell_raw(second);
+    t.run(20 * kMillisecond);
+    CHECK(t.front.hosts() == 2);
+    t.comments = false;  // silent, and open
+    t.run(2500 * kMillisecond);
+    REQUIRE(t.buses.size() >= 3);
+    CHECK(t.buses[2]->asked.find("Last-Event-ID: 2\r\n") != std::string::npos);
+    t.comments = true;
+    t.open_bus("10.0.9.1:2");
+    const std::size_t before = t.buses.size();
+    t.front.bus().moved("10.0.9.1:2");
+    t.run(50 * kMillisecond);
+    REQUIRE(t.buses.size() == before + 1);
+    CHECK(t.buses.back()->asked.find("Last-Event-ID: 2\r\n") != std::string::npos);
+}
+
+TEST_CASE("nothing for a host that left reaches a new one at its address") {
+    One t;
+    t.ask(t.o, 1);
+    t.h.last().answer(1);
+    t.run(20 * kMillisecond);
+    t.world.kill(*t.h.process);
+    PlatformRig::HostAt& heir = t.hosts["heir"];
+    heir.name = "heir";
+    heir.address = t.h.address;
+    heir.process = &t.world.process("10.0.1.1");
+    t.tell({PlatformRig::entry(t.h, "left")});
+    t.listen(heir);
+    t.tell({PlatformRig::entry(heir)});
+    t.o.release(1, signalling::kCancelled);
+    t.run(3 * kSecond);
+    CHECK(heir.conns.empty());
+    t.ask(t.o, 2);
+    CHECK(heir.launches().size() == 1);
+}
+
+TEST_CASE("after the call to end it serves a while, fails tests, answers all that is owed, then ends") {
+    One t;
+    t.ask(t.o, 1);
+    bool ended = false;
+    t.front.close([&ended] { ended = true; });
+    Message test;
+    test.type = Type::test;
+    test.task = 9;
+    test.cause = 0;
+    t.o.say(test);
+    t.ask(t.o, 2);
+    CHECK(t.h.launches().size() == 2);
+    REQUIRE(t.o.all(Type::tested).size() == 1);
+    CHECK(t.o.all(Type::tested)[0].cause == signalling::kFailed);
+    t.run(kSecond);
+    CHECK(!ended);
+    t.ask(t.o, 3);
+    CHECK(t.o.count(Type::release, 3) == 1);
+    t.h.conns[0]->answer(1);
+    t.h.conns[0]->answer(2);
+    t.run(200 * kMillisecond);
+    CHECK(ended);
+    CHECK(t.o.all(Type::answer).size() == 2);
+}
