What a draining machine sends away is not offered to it again

Trace of wide: after s- sent its containers away, both placers offered them to it again, since it was last known to hold their program; 46 refusals not_here, each 20 to 40 ms behind the other, starts at 300 ms and later. Container::ended now leaves such a machine alone for 5 s.

--- a/drill/wire.cpp
+++ b/drill/wire.cpp
@@ -222,7 +222,7 @@
     Report report(Fields& f) {
         Report r;
         const std::string_view text = f.text("gauge");
-        if (text != "-" && !terms::read_report(text, ',', r)) bad(f.message(), "gauge", "can't be read");
+        if (text != "-" && !terms::read_report(text, ',', r)) bad(f.message(), "gauge", "holds a pair without ':' or a value that is not a number");
         return r;
     }
 
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -94,6 +94,7 @@
     if (m.known && entry.started > m.listed.started) {  // started anew: it holds and knows nothing
         for (Ring<16>& r : m.failed) r.clear();
         m.excess = m.memory_used = 0;
+        m.blocked_until = 0;
         for (Neighbour& n : m.neighbours) n.last_ran = 0;
     }
     stale_ = stale_ || !m.known || m.listed.stage != entry.stage;
@@ -374,6 +375,7 @@
 constexpr Nanos kRefusalHolds = 700 * kMillisecond;   // a few containers end on a machine in that time
 constexpr Nanos kFullLineHolds = 300 * kMillisecond;  // a line of offers is worked off in that time
 constexpr Nanos kNotHereHolds = 2 * kSecond;          // it drains, and the list will soon say so
+constexpr Nanos kSendsAwayHolds = 5 * kSecond;        // it drains for sure; late lists come within that
 
 void Container::ended(Nanos now, int, Ending how, Reason why, bool closed, const Report& report) {
     Placer& p = *placer;
@@ -392,6 +394,9 @@
         first_maybe_at = sent;
     }
     if (why == Reason::evicted) machine_memory(now, 0, 1);
+    // Guards against the rush back: what a draining machine sends away comes again at once, seconds before the
+    // list names the drain, and would be offered to the very machine that last held its program.
+    if (why == Reason::sent_away) m.blocked_until = now + kSendsAwayHolds;
     p.leave(now, *this);
     if (how == Ending::refused) {
         if (why == Reason::no_cores || why == Reason::no_memory) {
--- a/tests/placer_test.cpp
+++ b/tests/placer_test.cpp
@@ -406,3 +406,24 @@
     start(3 * kSecond, still);
     CHECK((m.excess > 0.5) == !still);
 }
+
+TEST_CASE("what a draining machine sends away is not offered to it again, until it starts anew") {
+    Stand t;
+    Machine &drains = t.machine(), &other = t.machine();
+    Service& s = t.placer.meet_service(1);
+    t.entry(other, {0, 0, 0, 0, 0, Stage::serving, 0});  // full: the first goes to the one that will drain
+    Container& c = t.bound(s);
+    REQUIRE(c.out == &drains);
+    c.accepted(t.now, 0);
+    c.runs(t.now, 0);
+    t.entry(other, {0, 0, 0, 16, 32, Stage::serving, 0});
+    t.end(c, Ending::reset, Reason::sent_away, true);
+    for (int i = 0; i < 6; ++i) {
+        Container& again = t.take(s);
+        t.pass(100 * kMillisecond);
+        REQUIRE(again.out == &other);
+    }
+    t.entry(drains, {0, 0, 0, 16, 32, Stage::serving, t.now - 30 * kSecond});
+    t.entry(other, {0, 0, 0, -1e9, -1e9, Stage::serving, 0});
+    CHECK(t.bound(s).out == &drains);
+}
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -70,7 +70,7 @@
         {"POOL 3 2\nM h:2 0 0 1 0 1 SERVING 1 -\n", "EXCEPTION POOL: nodes_list names more"},
         {"POOL 3 1\nM h:2 0 0 1 0 1 LOST 1 -\n", "EXCEPTION M: stage_state"},
         {"CLOCK noon\n", "EXCEPTION CLOCK: clock is not a whole number"},
-        {"ECHO h:1 5 0 x0:1,x1:much\n", "EXCEPTION ECHO: gauge is not a number"},
+        {"ECHO h:1 5 0 x0:1,x1:much\n", "EXCEPTION ECHO: gauge holds a pair without"},
         {"ECHO h:1 5 0 x0:1,strange:much\n", "READY"},
     }));
     CHECK(started(line).find(says) != std::string::npos);
