Launches on one host go on connections of their own, and doubtful copies are cut

Each launch now has a connection of its own while the host's share of descriptors lasts (12 at most), and what was in doubt is cut where a repeat does no harm, for it would fill the machine unseen.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -394,8 +394,8 @@
         first_maybe_at = sent;
     }
     if (why == Reason::evicted) machine_memory(now, 0, 1);
-    // Guards against the rush back: what a draining machine sends away comes again at once, seconds before the
-    // list names the drain, and would be offered to the very machine that last held its program.
+    // Guards against the rush back: what a draining machine sends away comes again at once, seconds before
+    // the list names the drain, and would be offered to the very machine that last held its program.
     if (why == Reason::sent_away) m.blocked_until = now + kSendsAwayHolds;
     p.leave(now, *this);
     if (how == Ending::refused) {
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -22,7 +22,8 @@
 // longest deadline.
 constexpr Nanos kStillTaken = 680 * kMillisecond;
 constexpr std::size_t kSpareFiles = 24;  // standard streams, the loop's own, the listener, the bus, the file
-constexpr std::size_t kFilesForHosts = 5;  // one part in so many
+constexpr std::size_t kFilesForHosts = 4;  // one part in so many
+constexpr std::size_t kMostToOne = 12;     // connections to one host: a batch of a service's launches
 
 MachineKind largest_of(const std::vector<MachineKind>& kinds) {
     MachineKind most;
@@ -32,10 +33,11 @@
     }
     return most;
 }
-std::size_t for_owners(std::size_t descriptors) {
-    const std::size_t usable = descriptors > 2 * kSpareFiles ? descriptors - kSpareFiles : kSpareFiles;
-    return usable - usable / kFilesForHosts;
+std::size_t usable(std::size_t descriptors) {
+    return descriptors > 2 * kSpareFiles ? descriptors - kSpareFiles : kSpareFiles;
 }
+std::size_t for_hosts(std::size_t descriptors) { return usable(descriptors) / kFilesForHosts; }
+std::size_t for_owners(std::size_t descriptors) { return usable(descriptors) - for_hosts(descriptors); }
 
 }  // namespace
 
@@ -49,7 +51,7 @@
     : loop_(loop), log_(log), ledger_(ledger), group_names_(std::move(group_names)),
       kind_names_(std::move(kind_names)), zone_names_(std::move(zone_names)), kinds_(std::move(kinds)),
       largest_(largest_of(kinds_)), dial_timeout_(dial_timeout), idle_(idle), seed_(seed), wheel_(loop.now()),
-      owners_(loop, log, *this, for_owners(descriptors)),
+      for_hosts_(for_hosts(descriptors)), owners_(loop, log, *this, for_owners(descriptors)),
       bus_(loop, log, *this, zone_names_, kind_names_, seed), round_timer_(loop.timer([this] { round(); })),
       turn_timer_(loop.timer([this] { turn(); })), look_timer_(loop.timer([this] { look(); })),
       wake_timer_(loop.timer([this] { round(); })) {
@@ -164,6 +166,12 @@
                 ledger_.gone(now, *k.node);
             }
     }
+    std::size_t there = 0;
+    for (const auto& [name, k] : known_) there += k.host && k.listed.stage != Stage::gone;
+    for (auto& [name, k] : known_)
+        if (k.host)
+            k.host->most_connections(
+                std::clamp<std::size_t>(for_hosts_ / std::max<std::size_t>(there, 1), 1, kMostToOne));
     planner_->list_done(now, e.whole);
     if (!std::exchange(begun_, true)) planner_->begin(now);
     for (std::size_t left = waiting_.size(); left > 0; --left) {
--- a/src/platform/front.h
+++ b/src/platform/front.h
@@ -122,6 +122,7 @@
     const std::uint64_t seed_;
     planner::Planning* planner_ = nullptr;
     wheel::Wheel wheel_;
+    const std::size_t for_hosts_;  // descriptors
     Owners owners_;
     BusDoor bus_;
     std::map<std::string, Known, std::less<>> known_;
--- a/src/platform/hosts.cpp
+++ b/src/platform/hosts.cpp
@@ -334,10 +334,12 @@
 
 Connection* Host::current() {
     // One that was idle for long may be closed while a launch is on its way, which would leave that in doubt.
-    for (auto it = connections_.rbegin(); it != connections_.rend(); ++it)
-        if ((*it)->usable() && ((*it)->busy() || loop_.now() - (*it)->used_ < idle_ * 8 / 10))
-            return it->get();
-    return nullptr;
+    Connection* least = nullptr;
+    for (const auto& c : connections_)
+        if (c->usable() && (c->busy() || loop_.now() - c->used_ < idle_ * 8 / 10) &&
+            (!least || c->load() < least->load()))
+            least = c.get();
+    return least;
 }
 
 Connection& Host::dial() {
@@ -345,6 +347,8 @@
     return *connections_.back();
 }
 
+// A connection that breaks leaves all launches on it in doubt, so each goes on one of its own while there are
+// enough.
 void Host::launch(Task& t) {
     t.host = this;
     Connection* c = current();
@@ -353,6 +357,7 @@
         c->retired = true;
         c = nullptr;
     }
+    if (c && c->load() > 0 && connections_.size() < most_) c = nullptr;
     (c ? *c : dial()).launch(t);
 }
 
@@ -379,13 +384,15 @@
     t.standing = false;
     t.host = nullptr;
     if (!cut || stage_ == Stage::gone) return;
-    for (const auto& c : connections_)
-        if (c->up()) return c->cut(t.id);
-    if (Connection* c = current()) c->cut(t.id);
-    else {
-        cuts_.push_back(t.id);
-        dial();
-    }
+    Host::cut(t.id);
+}
+
+// Over any connection; what goes out on that one later, the same id again too, comes after it.
+void Host::cut(std::uint64_t id) {
+    if (stage_ == Stage::gone) return;
+    if (Connection* c = current()) return c->cut(id);
+    cuts_.push_back(id);
+    dial();
 }
 
 void Host::broke(Connection& c, bool was_up, bool refused) {
@@ -398,6 +405,18 @@
     const Nanos pause = std::min(kMostDialPause, kDialPause << std::min(refused_, 4));
     dial_again_ = loop_.now() + (was_up ? kDialPause / 3 : pause);
     for (const std::uint64_t id : std::exchange(c.cuts_, {})) cuts_.push_back(id);
+    // What is in doubt may stand by now, where no word of it reaches us: a copy that earns nothing and fills
+    // the machine. Where a repeat does no harm it is cut.
+    if (was_up && stage_ != Stage::gone) {
+        std::vector<std::uint64_t> doubtful;
+        for (const auto& [id, t] : c.launches_)
+            if (t->record->group->effect == Effect::idempotent) doubtful.push_back(id);
+        std::sort(doubtful.begin(), doubtful.end());
+        for (const std::uint64_t id : doubtful) {
+            if (Connection* other = current(); other && other->up()) other->cut(id);
+            else cuts_.push_back(id);
+        }
+    }
     c.end_all(was_up);
 }
 
@@ -427,11 +446,9 @@
         dialling = dialling || !c.up();
         ++i;
     }
-    if (standing_.empty()) {
-        if (stage_ == Stage::gone) cuts_.clear();
-        return;
-    }
-    if (up || dialling) return;
+    // Nobody is there for them any more.
+    if (stage_ == Stage::gone || refused_ >= kRefusedForGood || now - heard_ > kLost) cuts_.clear();
+    if (up || dialling || (standing_.empty() && cuts_.empty())) return;
     if (refused_ >= kRefusedForGood) return all_over("no process listens there");
     if (stage_ == Stage::gone && now - gone_at_ > kLastWords) return all_over("left");
     if (now - heard_ > kLost) return all_over("silent");
--- a/src/platform/hosts.h
+++ b/src/platform/hosts.h
@@ -40,6 +40,7 @@
 
     bool usable() const { return !broken_ && !retired; }
     bool up() const { return up_; }
+    std::size_t load() const { return waiting_.size() + launches_.size(); }
     bool busy() const { return !waiting_.empty() || !launches_.empty() || !tests_.empty(); }
     bool knows(std::uint64_t id) const { return given_up_.contains(id); }
     Nanos heard() const { return heard_; }
@@ -86,6 +87,7 @@
     const std::string& name() const { return name_; }
     std::uint32_t number() const { return number_; }
     void listed(const std::string& address, Stage);
+    void most_connections(std::size_t n) { most_ = n; }
     const std::string& address() const { return address_; }
     Stage stage() const { return stage_; }
 
@@ -102,7 +104,8 @@
 
 private:
     friend class Connection;
-    Connection* current();
+    Connection* current();  // the least loaded that may carry something new; null if there is none
+    void cut(std::uint64_t id);
     Connection& dial();
     void broke(Connection&, bool was_up, bool refused);
     void all_over(std::string_view why);
@@ -120,6 +123,7 @@
     std::vector<std::unique_ptr<Connection>> connections_, left_;
     std::map<std::uint64_t, Task*> standing_;
     std::vector<std::uint64_t> cuts_;  // for the next connection
+    std::size_t most_ = 1;
     Nanos heard_ = 0;
     int refused_ = 0;  // dials in a row
     Nanos dial_again_ = 0;
