--- a/fuzz/corpus.cpp
+++ b/fuzz/corpus.cpp
@@ -7,6 +7,7 @@
 #include "proto/list.pb.h"
 #include "proto/node.pb.h"
 #include "proto/owner.pb.h"
+#include "signalling/message.h"
 
 using namespace whinpost;
 
@@ -77,6 +78,45 @@
     put(to + "/list_door", entries);
     failed.mutable_failed()->set_text("busy");
     put(to + "/list_door", failed, entries);
+
+    // The platform: the first byte says from whom the rest comes (fuzz/platform.cpp).
+    const auto platform = [&to](char from, const std::string& bytes) {
+        std::filesystem::create_directories(to + "/platform");
+        std::ofstream(to + "/platform/" + std::to_string(number++), std::ios::binary) << from << bytes;
+    };
+    signalling::Message ask, answer, end, note_on;
+    ask.type = signalling::Type::set_up;
+    ask.task = 3;
+    ask.group = "free";
+    ask.wait = "5000";
+    ask.name = "00000000000000aa";
+    ask.figures = "cores:1;memory:2;service:00000000b4d65521;at:h";
+    ask.description = "d";
+    answer.type = signalling::Type::answer;
+    answer.task = 1;
+    answer.description = "d";
+    end.type = signalling::Type::release;
+    end.task = 1;
+    end.cause = signalling::kReset;
+    end.notes = "sent_away";
+    end.report = "x0:1;x1:2.5;queue:3";
+    note_on.type = signalling::Type::note;
+    note_on.task = 1;
+    note_on.notes = "served";
+    note_on.figure = "0.5";
+    std::string owner_bytes, host_bytes;
+    signalling::append(owner_bytes, ask);
+    signalling::append(owner_bytes, end);
+    for (const auto& m : {answer, note_on, end}) signalling::append(host_bytes, m);
+    platform(0, owner_bytes);
+    platform(1, host_bytes);
+    platform(2,
+             "id: 9\ndata: {\"offset\":9,\"topology\":{\"seq\":1,\"whole\":true,\"hosts\":[{\"host\":\"h\","
+             "\"health\":\"leaving\",\"free\":[1,2]}]}}\n\n");
+    platform(3,
+             "{\"listen\":\"a:1\",\"bus\":\"b:2\",\"seed\":\"1f\",\"limits\":{\"sockets\":256},\"settings\":"
+             "{\"classes\":[{\"name\":\"x\",\"semantics\":\"free\",\"aim_us\":5}],\"family_info\":"
+             "{\"cpu_of_kind\":[8],\"size_memory\":[16]},\"zones\":[\"a\"],\"zone\":0}}");
     std::filesystem::create_directories(to + "/files");
     return 0;
 }
--- /dev/null
+++ b/fuzz/platform.cpp
@@ -0,0 +1,62 @@
+// Any bytes from an owner, a host or the event bus of the platform, or as its file: the placer lives on, and
+// every container that it took gets its answer. The first byte says from whom the rest comes.
+#include "platform/briefing.h"
+#include "platform_rig.h"
+#include "terms/terms.h"
+
+using namespace whinpost;
+
+namespace {
+
+void send(net::Stream* to, std::string_view bytes, PlatformRig& t,
+          const std::unique_ptr<net::Stream>& still) {
+    if (!to) return;
+    to->write(bytes.substr(0, bytes.size() / 2));
+    t.run(kMillisecond);
+    if (still) still->write(bytes.substr(bytes.size() / 2));
+    t.run(10 * kMillisecond);
+}
+
+void read_file(std::string_view text) {
+    try {
+        const auto b = platform::Briefing::parse(text, "f");
+        terms::queue_groups(b.settings());
+        terms::group_names(b.settings());
+        terms::machine_kinds(b.settings());
+        terms::acceptance(b.settings());
+        terms::cold_terms(b.settings());
+        terms::list_terms(b.settings());
+        terms::launch_terms(b.settings());
+        terms::prices(b.settings());
+        terms::zone(b.settings());
+    } catch (const platform::Wrong&) {
+    } catch (const terms::Wrong&) {
+    }
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+    if (size == 0) return 0;
+    const std::string_view bytes(reinterpret_cast<const char*>(data) + 1, size - 1);
+    const int from = data[0] % 4;
+    if (from == 3) {
+        read_file(bytes);
+        return 0;
+    }
+    PlatformRig t;
+    t.start();
+    PlatformRig::HostAt& h = t.host("h");
+    t.tell({PlatformRig::entry(h)}, true);
+    Line& good = t.owner(1);
+    t.ask(good, 1);
+    Line& other = t.owner(2);
+    if (from == 0) send(other.stream.get(), bytes, t, other.stream);
+    if (from == 1 && !h.conns.empty()) send(h.conns[0]->stream.get(), bytes, t, h.conns[0]->stream);
+    if (from == 2) send(t.buses.back()->stream.get(), bytes, t, t.buses.back()->stream);
+    t.ask(good, 2);
+    t.run(8 * kSecond);
+    for (const std::uint64_t id : {1, 2})
+        if (good.count(Type::answer, id) + good.count(Type::release, id) == 0) __builtin_trap();
+    return 0;
+}
--- a/src/platform/hosts.cpp
+++ b/src/platform/hosts.cpp
@@ -294,7 +294,8 @@
     host_.log_(
         log::Level::debug, "host_connection_ended",
         {{"host", host_.name_}, {"why", net::words(why)}, {"up", was_up}, {"launches", launches_.size()}});
-    host_.broke(*this, was_up, !was_up);
+    // A descriptor that we lack says nothing about the host.
+    host_.broke(*this, was_up, !was_up && why == net::Closed::refused);
 }
 
 // Told after the connection is out of the host's list, so that what the user does next meets none of it.
--- a/tests/platform_rig.h
+++ b/tests/platform_rig.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -119,7 +120,10 @@
                   cold(), {}, {4, true}, {}) {
         front.plan_with(planner);
         open_bus("10.0.9.1:1");
-        REQUIRE(front.listen("10.0.0.1:3868").empty());
+        must(front.listen("10.0.0.1:3868").empty());
+    }
+    static void must(bool well) {
+        if (!well) throw std::runtime_error("the rig does not stand");
     }
     static std::vector<QueueGroup> groups() {
         std::vector<QueueGroup> out(3);
@@ -150,7 +154,7 @@
                 tell_raw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
             },
             error));
-        REQUIRE(bus_listeners.back());
+        must(bus_listeners.back() != nullptr);
     }
     void start(const std::string& address = "10.0.9.1:1") {
         front.bus().follow(address, 0);
@@ -206,7 +210,7 @@
                 h.process->use(stream, *h.conns.back());
             },
             error);
-        REQUIRE(h.listener);
+        must(h.listener != nullptr);
     }
     Line& owner(int number = 1) {
         lab::Process*& p = owner_processes[number];
