What stood by its notes and ended before its late answer is told to its owner

Front::launch_ended took the end for one before any yes and had it launched anew, so the owner never heard that what stood had ended. A note shows that a launch stands: such an end is final. Ruled out: connections (none broke then), a full house, a missing connection of the owner.

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -417,6 +417,7 @@
         });
         return;
     }
+    t->stood = false;
     wheel_.arm(t->launch_end, l->until);
     arm();
     log_(log::Level::debug, "launch",
@@ -483,7 +484,22 @@
 }
 
 void Front::launch_ended(Task& t, Ending how, Reason why, const Report& report) {
-    if (t.record->out) end_launch(t, how, why, report, false);
+    if (!t.record->out) return;
+    // Answers can be late, or lost, while what they tell of stands and comes to its end: the platform wants
+    // that end told to the owner, who asks again. Launched anew in silence, the container counted as lost.
+    if (t.stood && (how == Ending::reset || how == Ending::served || how == Ending::cancelled)) {
+        const planner::ContainerNumber n = t.record->number;
+        const Nanos now = loop_.now();
+        ledger_.give(now, *t.record, Answer::killed);
+        if (t.owner) {
+            owners_.answered(*t.owner);
+            refuse(*t.owner, t.id, signalling::kReset);
+            t.owner = nullptr;
+        }
+        planner_->withdrawn(now, n);
+        return end_launch(t, how, why, report, true);
+    }
+    end_launch(t, how, why, report, false);
 }
 
 void Front::standing_ended(Task& t, Ending how, Reason why, std::uint8_t cause, const Report& report) {
@@ -502,6 +518,7 @@
     const Nanos now = loop_.now();
     const planner::ContainerNumber n = t.record->number;
     const int launch = static_cast<int>(t.record->launches.size()) - 1;
+    t.stood = true;
     if (what == "runs") {
         if (t.record->out && ledger_.runs(now, *t.record->out)) planner_->runs(now, n, launch);
     } else if (what == "cores") planner_->uses_cores(now, n, launch, figure);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -184,6 +184,30 @@
     CHECK(t.o.count(Type::release, 2) == 1);
 }
 
+TEST_CASE(
+    "what stood by its notes and ended before its late answer came is told to its owner, not launched anew") {
+    One t;
+    const bool noted = GENERATE(true, false);
+    t.ask(t.o, 1);
+    Message note;
+    note.type = Type::note;
+    note.task = 1;
+    note.notes = "cores";
+    note.figure = "0.2";
+    if (noted) t.h.last().say(note);
+    t.run(20 * kMillisecond);
+    t.h.last().release(1, signalling::kReset, "sent_away");
+    t.run(20 * kMillisecond);
+    REQUIRE(t.o.count(Type::release, 1) == (noted ? 1u : 0u));
+    t.run(5 * kSecond);
+    CHECK(t.o.count(Type::release, 1) == 1);
+    t.h.conns[0]->answer(1);
+    t.run(20 * kMillisecond);
+    CHECK(t.o.count(Type::answer, 1) == 0);
+    CHECK(t.front.tasks() == 0);
+    CHECK(t.planner.open() == 0);
+}
+
 TEST_CASE("a refused connection proves that nothing ran, a reset proves nothing") {
     One t;
     const bool refused = GENERATE(true, false);
