An owner connection for which a container stands is shown out last

Connections now know how much stands for them. Ruled out: the restart of the placers, lost releases of hosts.

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -196,6 +196,11 @@
     return t;
 }
 
+void Front::stands_for_owner(Task& t) {
+    if (!t.owner || std::exchange(t.counted, true)) return;
+    owners_.stands(*t.owner, 1);
+}
+
 Task* Front::find(planner::ContainerNumber n) {
     const auto it = tasks_.find(n);
     return it == tasks_.end() ? nullptr : it->second.get();
@@ -265,6 +270,7 @@
     t.name = s.name;
     planner_->take_over(now, r.number, service, s.asked, k.host->number());
     standing_[t.name] = &t;
+    stands_for_owner(t);
     k.host->stands(t);
     log_(log::Level::debug, "taken_over", {{"task", s.name}, {"host", s.at}});
     round_soon();
@@ -317,8 +323,10 @@
     std::sort(open.begin(), open.end(),
               [](Task* a, Task* b) { return a->record->number < b->record->number; });
     for (Task* t : open)
-        if (t->standing) t->owner = nullptr;
-        else unanswered(*t);
+        if (t->standing) {
+            t->owner = nullptr;
+            t->counted = false;
+        } else unanswered(*t);
 }
 
 // We close it: nothing that was taken on it may be lost.
@@ -388,6 +396,7 @@
     t.launch_end.disarm();
     const auto it = tasks_.find(t.record->number);
     if (it == tasks_.end()) return;
+    if (std::exchange(t.counted, false) && t.owner) owners_.stands(*t.owner, -1);
     if (const auto named = standing_.find(t.name); named != standing_.end() && named->second == &t)
         standing_.erase(named);
     by_id_.erase(t.id);
@@ -469,6 +478,7 @@
     Host& host = *t.host;
     host.stands(t);
     standing_[t.name] = &t;
+    stands_for_owner(t);
     if (t.owner) {
         owners_.answered(*t.owner);
         Message m;
--- a/src/platform/front.h
+++ b/src/platform/front.h
@@ -95,6 +95,7 @@
     };
 
     Task& make(std::uint64_t id, ledger::Record&, Owner*, const std::string& peer);
+    void stands_for_owner(Task&);
     Task* find(planner::ContainerNumber);
     bool take_over(std::uint64_t id, const SetUp&, Owner*, const std::string& peer);
     void refuse(Owner&, std::uint64_t id, std::uint8_t cause, Nanos stay_away = 0);
--- a/src/platform/owners.cpp
+++ b/src/platform/owners.cpp
@@ -110,10 +110,11 @@
     return listener_ ? std::string() : error;
 }
 
-// A full house makes room by showing out the one that has said nothing for the longest, else, of those that
-// have nothing open, the one that was of no use for the longest; where all have, the new one goes. Guards
-// against owners that ask once and hold their connection for good: by age alone the busy ones went first, and
-// what stood for them could be told to nobody.
+// A full house makes room by showing out the one that has said nothing for the longest; else, of those that
+// have nothing open, one for which nothing stands, and of these the one that was of no use for the longest.
+// Where all have something open the new one goes. Guards against owners that ask once and hold their
+// connection for good: by age alone the busy ones went first, and by use alone those with a container that
+// stands, whose end could then be told to nobody.
 void Owners::accept(std::unique_ptr<net::Stream> s) {
     if (owners_.size() >= most_) {
         const Nanos now = loop_.now();
@@ -121,9 +122,11 @@
         for (const auto& o : owners_)
             if (!o->spoke_ && now - o->since_ >= kJustCame && (!out || o->since_ < out->since_))
                 out = o.get();
-        if (!out)
+        if (!out) {
+            const auto rank = [](const Owner& o) { return std::pair(o.standing_ > 0, o.used_); };
             for (const auto& o : owners_)
-                if (o->spoke_ && !o->open_ && (!out || o->used_ < out->used_)) out = o.get();
+                if (o->spoke_ && !o->open_ && (!out || rank(*o) < rank(*out))) out = o.get();
+        }
         if (!out) return s->abort();
         out->stream_->abort();
         out->end();
--- a/src/platform/owners.h
+++ b/src/platform/owners.h
@@ -33,7 +33,8 @@
     std::string peer_;
     Nanos since_, used_, half_since_ = 0;
     bool spoke_ = false, ended_ = false;
-    int open_ = 0;  // set-ups that wait for their answer
+    int open_ = 0;      // set-ups that wait for their answer
+    int standing_ = 0;  // containers whose end is to be told on it
 };
 
 class OwnerUser {
@@ -58,6 +59,7 @@
     Owner* from(const std::string& peer);
     void opened(Owner& o) { ++o.open_; }
     void answered(Owner& o) { --o.open_; }
+    void stands(Owner& o, int more) { o.standing_ += more; }
 
 private:
     friend class Owner;
--- a/src/platform/task.h
+++ b/src/platform/task.h
@@ -38,6 +38,7 @@
     Host* host = nullptr;                       // where a launch is out, or it stands
     Connection* on = nullptr;  // the launch left on this one; null before, and once it stands
     bool standing = false;
+    bool counted = false;  // among what stands for its owner's connection
     bool stood = false;  // of the launch that is out: a note shows that it stands, though no answer has come
     Deadline deadline;
     LaunchEnd launch_end;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -269,6 +269,24 @@
     CHECK(t.o.count(Type::release, 1) == 1);
 }
 
+TEST_CASE("an owner that asked once keeps its connection while its container stands, however quiet") {
+    One t(128);
+    Line& quiet = t.owner(2);
+    t.ask(quiet, 1, "free", 5000);
+    t.h.last().answer(1);
+    t.run(20 * kMillisecond);
+    std::uint64_t id = 1000;
+    for (int i = 0; i < 150; ++i) {
+        t.ask(t.owner(3 + i), ++id, "free", 5000);
+        for (const auto& c : t.h.conns)
+            if (c->count(Type::set_up, id)) c->release(id, signalling::kError);
+    }
+    CHECK(!quiet.over);
+    t.h.conns[0]->release(1, signalling::kOk);
+    t.run(20 * kMillisecond);
+    CHECK(quiet.count(Type::release, 1) == 1);
+}
+
 TEST_CASE("a release whose owner has no connection open finds the next one from there") {
     One t;
     t.ask(t.o, 1);
