Clients whose words call for no answer are shown out in time

Owners::look closes a connection on which nothing was said, is open or stands after 2 s; at most 2,000 such set-ups are kept. The test of machines that send containers away left its launches unanswered and failed for that; mended, and seen to fail without the line in Container::ended, as the owner's test without its rank.

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -17,6 +17,7 @@
 // The planner's timers and the clock's own answer would else come in one pass, in either order.
 constexpr Nanos kClockGrace = 3 * kMillisecond;
 constexpr Nanos kEarly = 20 * kSecond;     // a host that stands in no list so long after is none
+constexpr std::size_t kMostEarly = 2000;   // far over what one host holds; bounds what a bad client can fill
 constexpr Nanos kWordKept = 10 * kSecond;  // PROTOCOL's 8 s, and some
 // After SIGTERM connections come for up to 0.4 s and set-ups for 0.2 s more; the kill comes 0.7 s after the
 // longest deadline.
@@ -224,8 +225,10 @@
         return refuse(from, m.task, signalling::kError);
     }
     if (!s.at.empty()) {
-        if (!take_over(m.task, s, &from, from.peer()))
+        if (!take_over(m.task, s, &from, from.peer())) {
             waiting_.push_back({m.task, s, from.peer(), loop_.now()});
+            if (waiting_.size() > kMostEarly) waiting_.pop_front();
+        }
         return;
     }
     if (const auto it = by_id_.find(m.task); it != by_id_.end()) {
--- a/src/platform/front.h
+++ b/src/platform/front.h
@@ -41,6 +41,7 @@
     std::size_t tasks() const { return tasks_.size(); }
     std::size_t hosts() const { return hosts_.size(); }
     std::size_t connections() const;
+    std::size_t early() const { return waiting_.size(); }
 
     void bind(planner::ContainerNumber, planner::NodeNumber, Nanos time_out) override;
     void defer(planner::ContainerNumber, Nanos stay_away) override;
--- a/src/platform/owners.cpp
+++ b/src/platform/owners.cpp
@@ -31,6 +31,7 @@
     std::string bytes;
     signalling::append(bytes, m);
     stream_->write(bytes);
+    told_ = true;
     used_ = owners_.loop_.now();
     if (stream_->unsent() > kMostUnsent) end();  // it does not read
 }
@@ -154,7 +155,9 @@
     left_.clear();
     std::vector<Owner*> out;
     for (const auto& o : owners_)
-        if ((!o->spoke_ && now - o->since_ > kFirstWord) ||
+        // Words that call for no answer count for nothing: a release of what nobody knows, a container on a
+        // host that no list names.
+        if ((!o->told_ && !o->open_ && !o->standing_ && now - o->since_ > kFirstWord) ||
             (o->half_since_ && now - o->half_since_ > kHalfMessage))
             out.push_back(o.get());
     for (Owner* o : out) o->end();
--- a/src/platform/owners.h
+++ b/src/platform/owners.h
@@ -32,9 +32,9 @@
     std::unique_ptr<net::Stream> stream_;
     std::string peer_;
     Nanos since_, used_, half_since_ = 0;
-    bool spoke_ = false, ended_ = false;
-    int open_ = 0;      // set-ups that wait for their answer
-    int standing_ = 0;  // containers whose end is to be told on it
+    bool spoke_ = false, told_ = false, ended_ = false;  // told_: something was ever said to it
+    int open_ = 0;                                       // set-ups that wait for their answer
+    int standing_ = 0;                                   // containers whose end is to be told on it
 };
 
 class OwnerUser {
--- a/tests/placer_test.cpp
+++ b/tests/placer_test.cpp
@@ -422,6 +422,7 @@
         Container& again = t.take(s);
         t.pass(100 * kMillisecond);
         REQUIRE(again.out == &other);
+        again.accepted(t.now, 0);
     }
     t.entry(drains, {0, 0, 0, 16, 32, Stage::serving, t.now - 30 * kSecond});
     t.entry(other, {0, 0, 0, -1e9, -1e9, Stage::serving, 0});
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -384,6 +384,30 @@
     CHECK(t.o.count(Type::answer, 12) == 1);
 }
 
+TEST_CASE(
+    "a client whose words call for no answer is shown out in time, one with something that stands is not") {
+    One t;
+    Line &bad = t.owner(2), &odd = t.owner(3), &good = t.owner(4);
+    for (std::uint64_t id = 100; id < 5000; ++id) {
+        Message m;
+        m.type = Type::set_up;
+        m.task = id;
+        const std::string name = PlatformRig::name_of(id);
+        m.group = "free";
+        m.name = name;
+        m.figures = "cores:1;memory:2;service:00000000b4d65521;at:nowhere";
+        bad.say(m);
+    }
+    odd.release(77, signalling::kGivenUp);
+    t.ask(good, 9, "free", 4294967, ";at:h");
+    t.run(2500 * kMillisecond);
+    CHECK(bad.over);
+    CHECK(odd.over);
+    CHECK(!good.over);
+    CHECK(t.front.tasks() == 1);
+    CHECK(t.front.early() <= 2000);
+}
+
 TEST_CASE("a client that reads nothing holds bounded memory") {
     One t;
     Line& deaf = t.owner(2);
