--- a/include/whinpost/placer.h
+++ b/include/whinpost/placer.h
@@ -208,6 +208,8 @@
     Nanos not_before = 0;
     double order = 0, cores_used = 0;
     std::vector<Machine*> turned_down;
+    Machine* erred_at = nullptr;  // where its first launch that ended in an error was
+    bool faulty = false;          // and it erred elsewhere too
 
 private:
     friend class Placer;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -417,7 +417,13 @@
         turned_down.push_back(&m);
     } else if (how == Ending::error || how == Ending::unconnected || how == Ending::timed_out ||
                (how == Ending::reset && (!was_placed || why == Reason::untold))) {
-        m.failed[static_cast<std::size_t>(asked.group)].add(now, 1);
+        // Guards against containers that no machine can use: what errs at a second machine speaks against
+        // itself, and its first error is taken back. Else a few bad owners make all machines look as if they
+        // failed. Could hide two failing machines that the same container met.
+        const std::size_t g = static_cast<std::size_t>(asked.group);
+        if (how != Ending::error || !erred_at) m.failed[g].add(now, 1);
+        else if (!std::exchange(faulty, true)) erred_at->failed[g].add(now, -1);
+        if (how == Ending::error && !erred_at) erred_at = &m;
         turned_down.push_back(&m);
     }
     if (closed) p.settle(*this);
--- a/tests/placer_test.cpp
+++ b/tests/placer_test.cpp
@@ -428,3 +428,25 @@
     t.entry(other, {0, 0, 0, -1e9, -1e9, Stage::serving, 0});
     CHECK(t.bound(s).out == &drains);
 }
+
+TEST_CASE("a container that errs at one machine after another speaks against itself, not against them") {
+    Stand t;
+    Machine &a = t.machine(), &b = t.machine();
+    Service& s = t.placer.meet_service(1);
+    const auto failed = [&] { return a.failed[0].sum(t.now) + b.failed[0].sum(t.now); };
+    Container& c = t.bound(s);
+    t.end(c, Ending::error);
+    CHECK(failed() == 1);
+    t.pass(100 * kMillisecond);
+    REQUIRE(c.out);
+    t.end(c, Ending::error);
+    CHECK(failed() == 0);
+    t.pass(100 * kMillisecond);
+    REQUIRE(c.out);
+    t.end(c, Ending::error);
+    CHECK(failed() == 0);
+    t.pass(100 * kMillisecond);
+    REQUIRE(c.out);
+    t.end(c, Ending::timed_out);  // silence is the machine's
+    CHECK(failed() == 1);
+}
