One reader loop of the platform's messages, one way to give an answer; dead members out

Read over the whole change: Connection::received and Owner::received each had the loop that signalling::messages now is (as net::frames is for the own front); Front::launch_ended gave the final answer in a copy of Front::answer's lines; owner_left and owner_ends gathered an owner's containers alike. Members that nobody called are gone (launch_written, Known::complete and left, Host::empty and others).

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -1,7 +1,6 @@
 #include "platform/front.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include "whinpost/mark.h"
 
@@ -64,8 +63,7 @@
 
 std::size_t Front::connections() const {
     std::size_t n = owners_.size();
-    for (const Host* h : hosts_)
-        if (h) n += h->connections();
+    for (const Host* h : hosts_) n += h->connections();
     return n;
 }
 
@@ -106,11 +104,7 @@
 void Front::look() {
     const Nanos now = loop_.now();
     owners_.look(now);
-    for (auto it = known_.begin(); it != known_.end();) {
-        Known& k = it->second;
-        if (k.host) k.host->look(now);
-        ++it;
-    }
+    for (Host* h : hosts_) h->look(now);
     while (!waiting_.empty() && now - waiting_.front().since > kEarly) waiting_.pop_front();
     while (!words_.empty() && now - words_.front().since > kWordKept) words_.pop_front();
     if (closing_at_ && now >= closing_at_) {
@@ -169,10 +163,9 @@
     }
     std::size_t there = 0;
     for (const auto& [name, k] : known_) there += k.host && k.listed.stage != Stage::gone;
-    for (auto& [name, k] : known_)
-        if (k.host)
-            k.host->most_connections(
-                std::clamp<std::size_t>(for_hosts_ / std::max<std::size_t>(there, 1), 1, kMostToOne));
+    const std::size_t each =
+        std::clamp<std::size_t>(for_hosts_ / std::max<std::size_t>(there, 1), 1, kMostToOne);
+    for (Host* h : hosts_) h->most_connections(each);
     planner_->list_done(now, e.whole);
     if (!std::exchange(begun_, true)) planner_->begin(now);
     for (std::size_t left = waiting_.size(); left > 0; --left) {
@@ -319,13 +312,16 @@
     words_ = std::move(kept);
 }
 
-void Front::owner_left(Owner& o) {
-    std::vector<Task*> open;
+std::vector<Task*> Front::of(const Owner& o) {
+    std::vector<Task*> out;
     for (const auto& [id, t] : by_id_)
-        if (t->owner == &o) open.push_back(t);
-    std::sort(open.begin(), open.end(),
-              [](Task* a, Task* b) { return a->record->number < b->record->number; });
-    for (Task* t : open)
+        if (t->owner == &o) out.push_back(t);
+    std::sort(out.begin(), out.end(), [](Task* a, Task* b) { return a->record->number < b->record->number; });
+    return out;
+}
+
+void Front::owner_left(Owner& o) {
+    for (Task* t : of(o))
         if (t->standing) {
             t->owner = nullptr;
             t->counted = false;
@@ -334,14 +330,9 @@
 
 // We close it: nothing that was taken on it may be lost.
 void Front::owner_ends(Owner& o) {
-    std::vector<Task*> open;
-    for (const auto& [id, t] : by_id_)
-        if (t->owner == &o && !t->standing) open.push_back(t);
-    std::sort(open.begin(), open.end(),
-              [](Task* a, Task* b) { return a->record->number < b->record->number; });
-    for (Task* t : open) {
+    for (Task* t : of(o)) {
+        if (t->standing || t->record->answer != Answer::none) continue;
         const planner::ContainerNumber n = t->record->number;
-        if (t->record->answer != Answer::none) continue;
         answer(*t, ledger_.honest(*t->record), 0);
         planner_->withdrawn(loop_.now(), n);
     }
@@ -353,18 +344,18 @@
 
 // ---------------------------------------------------------------- answers
 
+void Front::give(Task& t, Answer a, Nanos stay_away) {
+    ledger_.give(loop_.now(), *t.record, a);
+    if (!t.owner) return;
+    owners_.answered(*t.owner);
+    refuse(*t.owner, t.id, a == Answer::deferred ? signalling::kTryLater : signalling::kReset, stay_away);
+    t.owner = nullptr;
+}
+
 void Front::answer(Task& t, Answer a, Nanos stay_away) {
-    if (!ledger_.give(loop_.now(), *t.record, a)) {
-        // What may have run is not to be deferred, whoever asks.
-        if (t.record->answer != Answer::none) return;
-        a = ledger_.honest(*t.record);
-        ledger_.give(loop_.now(), *t.record, a);
-    }
-    if (t.owner) {
-        owners_.answered(*t.owner);
-        refuse(*t.owner, t.id, a == Answer::deferred ? signalling::kTryLater : signalling::kReset, stay_away);
-        t.owner = nullptr;
-    }
+    if (t.record->answer != Answer::none) return;
+    // What may have run is not to be deferred, whoever asks.
+    give(t, a == Answer::deferred ? ledger_.honest(*t.record) : a, stay_away);
     if (t.record->out) {
         t.host->give_up(t);
         if (in_round_)
@@ -502,14 +493,8 @@
     // that end told to the owner, who asks again. Launched anew in silence, the container counted as lost.
     if (t.stood && (how == Ending::reset || how == Ending::served || how == Ending::cancelled)) {
         const planner::ContainerNumber n = t.record->number;
-        const Nanos now = loop_.now();
-        ledger_.give(now, *t.record, Answer::killed);
-        if (t.owner) {
-            owners_.answered(*t.owner);
-            refuse(*t.owner, t.id, signalling::kReset);
-            t.owner = nullptr;
-        }
-        planner_->withdrawn(now, n);
+        give(t, Answer::killed, 0);
+        planner_->withdrawn(loop_.now(), n);
         return end_launch(t, how, why, report, true);
     }
     end_launch(t, how, why, report, false);
@@ -574,7 +559,7 @@
 }
 
 void Front::probe(planner::NodeNumber n) {
-    if (n < hosts_.size() && hosts_[n]) hosts_[n]->test();
+    if (n < hosts_.size()) hosts_[n]->test();
 }
 
 }  // namespace whinpost::platform
--- a/src/platform/front.h
+++ b/src/platform/front.h
@@ -56,7 +56,6 @@
 
 private:
     friend struct Task;
-    void launch_written(Task&) override {}
     bool may_write(Task&) override;
     void launch_answered(Task&, std::string_view description) override;
     void launch_ended(Task&, Ending, Reason, const Report&) override;
@@ -79,8 +78,6 @@
         ledger::Node* node = nullptr;
         std::string address;
         Listed listed;
-        bool complete = false;
-        Nanos left = 0;
     };
     struct Waiting {  // taken over on a host that is not listed yet
         std::uint64_t id;
@@ -100,6 +97,8 @@
     Task* find(planner::ContainerNumber);
     bool take_over(std::uint64_t id, const SetUp&, Owner*, const std::string& peer);
     void refuse(Owner&, std::uint64_t id, std::uint8_t cause, Nanos stay_away = 0);
+    std::vector<Task*> of(const Owner&);                // in the order they were taken
+    void give(Task&, ledger::Answer, Nanos stay_away);  // the final answer, and nothing else
     void answer(Task&, ledger::Answer, Nanos stay_away);
     void unanswered(Task&);  // its owner waits no more
     void end_launch(Task&, Ending, Reason, const Report&, bool closed);
@@ -112,7 +111,6 @@
     void look();
     void turn();
     void arm();
-    std::vector<std::unique_ptr<Task>>& dropped() { return dropped_; }
 
     net::Loop& loop_;
     const log::Log& log_;
--- a/src/platform/hosts.cpp
+++ b/src/platform/hosts.cpp
@@ -95,7 +95,6 @@
         launches_[t.id] = &t;
         used_ = now;
         write(m);
-        host_.user_.launch_written(t);
     }
 }
 
@@ -155,19 +154,12 @@
 
 std::size_t Connection::received(std::string_view in) {
     heard_ = host_.heard_ = host_.loop_.now();
-    std::size_t done = 0;
-    while (!broken_) {
-        Message m;
-        std::size_t used = 0;
-        const signalling::Read how = signalling::read(in.substr(done), m, used);
-        if (how == signalling::Read::unreadable) {
-            unreadable("not a message");
-            break;
-        }
-        if (how == signalling::Read::more) break;
-        done += used;
+    bool spoilt = false;
+    const std::size_t done = signalling::messages(in, spoilt, [this](const Message& m) {
         heard(m);
-    }
+        return !broken_;
+    });
+    if (spoilt) unreadable("not a message");
     if (!broken_) {
         if (done < in.size()) timer_->arm(host_.loop_.now() + kHalfMessage);
         else timer_->disarm();
--- a/src/platform/hosts.h
+++ b/src/platform/hosts.h
@@ -23,7 +23,6 @@
 class HostUser {
 public:
     virtual ~HostUser() = default;
-    virtual void launch_written(Task&) = 0;
     virtual bool may_write(Task&) = 0;  // a launch that has waited for its connection
     virtual void launch_answered(Task&, std::string_view description) = 0;
     virtual void launch_ended(Task&, Ending, Reason, const Report&) = 0;  // before an answer
@@ -43,7 +42,6 @@
     std::size_t load() const { return waiting_.size() + launches_.size(); }
     bool busy() const { return !waiting_.empty() || !launches_.empty() || !tests_.empty(); }
     bool knows(std::uint64_t id) const { return given_up_.contains(id); }
-    Nanos heard() const { return heard_; }
     void launch(Task&);
     void give_up(Task&);  // its launch ends here, whether it was written or not
     void test();
@@ -88,16 +86,12 @@
     std::uint32_t number() const { return number_; }
     void listed(const std::string& address, Stage);
     void most_connections(std::size_t n) { most_ = n; }
-    const std::string& address() const { return address_; }
-    Stage stage() const { return stage_; }
 
     void launch(Task&);
     void give_up(Task&);
     void test();
     void stands(Task&);
     void take_down(Task&, bool cut);  // it stands no more, and is cut at the host
-    bool empty() const { return standing_.empty() && connections_.empty(); }
-    std::size_t standing() const { return standing_.size(); }
     std::size_t connections() const { return connections_.size(); }
     // From time to time: silent and idle connections, hosts that are gone for good.
     void look(Nanos now);
--- a/src/platform/owners.cpp
+++ b/src/platform/owners.cpp
@@ -44,18 +44,8 @@
 }
 
 std::size_t Owner::received(std::string_view in) {
-    std::size_t done = 0;
-    while (!ended_) {
-        Message m;
-        std::size_t used = 0;
-        const signalling::Read how = signalling::read(in.substr(done), m, used);
-        if (how == signalling::Read::more) break;
-        if (how == signalling::Read::unreadable) {
-            owners_.log_(log::Level::debug, "owner_unreadable", {{"peer", peer_}});
-            end();
-            break;
-        }
-        done += used;
+    bool spoilt = false;
+    const std::size_t done = signalling::messages(in, spoilt, [this](const Message& m) {
         used_ = owners_.loop_.now();
         if (!std::exchange(spoke_, true)) owners_.user_.owner_came(*this);
         if (owners_.log_.says(log::Level::debug))
@@ -91,6 +81,11 @@
             default:  // a host's word: no owner has any business with it
                 end();
         }
+        return !ended_;
+    });
+    if (spoilt) {
+        owners_.log_(log::Level::debug, "owner_unreadable", {{"peer", peer_}});
+        end();
     }
     half_since_ = done < in.size() ? (half_since_ ? half_since_ : owners_.loop_.now()) : 0;
     return ended_ ? in.size() : done;
--- a/src/signalling/message.h
+++ b/src/signalling/message.h
@@ -44,4 +44,21 @@
 
 void append(std::string& out, const Message&);
 
+// Hands each whole message of `in` to `each(const Message&) -> bool`, until it gives false; gives back how
+// many bytes are done with. `unreadable` is set where what follows can't be read.
+template <class F>
+std::size_t messages(std::string_view in, bool& unreadable, F each) {
+    std::size_t done = 0;
+    unreadable = false;
+    for (;;) {
+        Message m;
+        std::size_t used = 0;
+        const Read how = read(in.substr(done), m, used);
+        unreadable = how == Read::unreadable;
+        if (how != Read::whole) return done;
+        done += used;
+        if (!each(m)) return done;
+    }
+}
+
 }  // namespace whinpost::signalling
