--- a/apps/platform.cpp
+++ b/apps/platform.cpp
@@ -47,10 +47,7 @@
                              terms::prices(settings));
     front.plan_with(planner);
     for (const std::string& e : told->known()) front.bus().known(e);
-    const std::string wrong = front.listen(listen);
-    if (!wrong.empty()) throw platform::Wrong("GW_LISTEN: " + listen + ": " + wrong);
-    front.bus().follow(told->bus(), told->offset());
-    told.reset();
+    // Before it listens: a signal that comes once clients connect would else kill it over what they wrote.
     loop.on_signal(SIGHUP, [&] {
         try {
             front.bus().moved(platform::Briefing::read(path).bus());
@@ -62,6 +59,10 @@
     const auto end = [&] { front.close([&loop] { loop.stop(); }); };
     loop.on_signal(SIGTERM, end);
     loop.on_signal(SIGINT, end);
+    const std::string wrong = front.listen(listen);
+    if (!wrong.empty()) throw platform::Wrong("GW_LISTEN: " + listen + ": " + wrong);
+    front.bus().follow(told->bus(), told->offset());
+    told.reset();
     log(log::Level::info, "serving", {{"listen", listen}});
     loop.run();
     return 0;
--- a/lab/sim.cpp
+++ b/lab/sim.cpp
@@ -27,13 +27,13 @@
         *self_ = nullptr;
         std::erase(process_.streams_, this);
         ++process_.files_;
-        if (other_ && *other_ && process_.alive_) finish(net::Closed::by_peer);
+        if (other_ && *other_ && process_.alive_ && !half_closed_) finish(net::Closed::by_peer);
     }
     SimStream(const SimStream&) = delete;
     SimStream& operator=(const SimStream&) = delete;
 
     void write(std::string_view bytes) override {
-        if (broken_) return;
+        if (broken_ || finishing_) return;
         out_ += bytes;
         written_ += bytes.size();
         hand_over();
@@ -44,6 +44,11 @@
         reading_ = on;
         if (on) wake();
     }
+    bool unread() const override { return !incoming_.empty() && process_.world_.now_ >= arrives_; }
+    void finish() override {
+        if (std::exchange(finishing_, true)) return;
+        half_close();
+    }
     void abort() override {
         if (other_ && *other_) finish(net::Closed::reset);
         broken_ = true;
@@ -57,6 +62,11 @@
     friend class SimListener;
     using Self = std::shared_ptr<SimStream*>;
 
+    // The other end meets the end of this direction once it has read all that was handed over.
+    void half_close() {
+        if (!out_.empty() || dialling_ || !peer_end() || std::exchange(half_closed_, true)) return;
+        finish(net::Closed::by_peer);
+    }
     SimStream* peer_end() const { return other_ ? *other_ : nullptr; }
 
     // Tells the other end that this one is closed, after all that was handed over has arrived.
@@ -78,7 +88,7 @@
         const net::Closed how = *ending_;
         ending_.reset();
         broken_ = true;
-        other_.reset();
+        if (how != net::Closed::by_peer || !peer_end() || !peer_end()->half_closed_) other_.reset();
         if (user_) user_->closed(how);
     }
 
@@ -101,6 +111,7 @@
                 });
             }
         }
+        if (finishing_) half_close();
         if (out_.empty() && written_ && !telling_) {
             telling_ = true;
             const Self me = self_;
@@ -156,6 +167,7 @@
     Nanos arrives_ = 0;
     std::optional<net::Closed> ending_;
     bool reading_ = true, dialling_ = false, broken_ = false, telling_ = false;
+    bool finishing_ = false, half_closed_ = false;
 };
 
 class SimListener final : public net::Listener {
@@ -169,6 +181,7 @@
         if (const auto it = all.find(address_); it != all.end() && it->second == this) all.erase(it);
     }
     std::string address() const override { return address_; }
+    void accept_waiting() override {}  // each is handed on as it arrives
 
 private:
     friend class Process;
--- a/src/bus/events.cpp
+++ b/src/bus/events.cpp
@@ -131,6 +131,7 @@
             if (line_.size() > kLongestLine) return false;
             continue;
         }
+        ++lines_;
         if (line_.empty()) {
             if (!data_.empty()) each(data_);
             data_.clear();
--- a/src/bus/events.h
+++ b/src/bus/events.h
@@ -45,11 +45,13 @@
     // Calls `each` with the id and data of every whole event; a half event at the end is kept for more, and
     // dropped with the reader. False where the answer can't be read, is no success, or has come to its end.
     bool read(std::string_view bytes, const std::function<void(std::string_view data)>& each);
+    std::uint64_t lines() const { return lines_; }  // whole ones, so far
 
 private:
     struct Parser;
     std::unique_ptr<Parser> parser_;
     std::string line_, data_;
+    std::uint64_t lines_ = 0;
 };
 
 }  // namespace whinpost::bus
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -6,6 +6,7 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <time.h>
 
@@ -138,6 +139,7 @@
     // would cost two more calls to change what is waited for, and a turn of the loop; it takes over where the
     // kernel takes no more.
     void write(std::string_view bytes) override {
+        if (finishing_) return;
         written_ += bytes.size();
         if (dialling_ || aborted_ || evbuffer_get_length(bufferevent_get_output(bev_)) > 0) {
             bufferevent_write(bev_, bytes.data(), bytes.size());
@@ -151,7 +153,10 @@
         if (!lot_.empty()) {
             bufferevent_write(bev_, lot_.data(), lot_.size());
             lot_.clear();
-        } else if (user_) user_->drained();  // may destroy this
+            return;
+        }
+        if (finishing_) half_close();
+        if (user_) user_->drained();  // may destroy this
     }
     std::size_t unsent() const override {
         return lot_.size() + evbuffer_get_length(bufferevent_get_output(bev_));
@@ -161,6 +166,15 @@
         if (on) bufferevent_enable(bev_, EV_READ);
         else bufferevent_disable(bev_, EV_READ);
     }
+    bool unread() const override {
+        const evutil_socket_t fd = bufferevent_getfd(bev_);
+        int bytes = 0;
+        return fd >= 0 && ioctl(fd, FIONREAD, &bytes) == 0 && bytes > 0;
+    }
+    void finish() override {
+        if (std::exchange(finishing_, true)) return;
+        if (!dialling_ && unsent() == 0) half_close();
+    }
     void abort() override {
         aborted_ = true;
         const evutil_socket_t fd = bufferevent_getfd(bev_);
@@ -178,6 +192,10 @@
     }
 
 private:
+    void half_close() {
+        const evutil_socket_t fd = bufferevent_getfd(bev_);
+        if (fd >= 0) shutdown(fd, SHUT_WR);
+    }
     void send_lot() {
         const evutil_socket_t fd = bufferevent_getfd(bev_);
         if (fd < 0) return;
@@ -203,7 +221,9 @@
     }
     static void on_write(bufferevent*, void* self) {
         auto* s = static_cast<EventStream*>(self);
-        if (!s->dialling_) s->user_->drained();
+        if (s->dialling_) return;
+        if (s->finishing_) s->half_close();
+        s->user_->drained();
     }
     static void on_event(bufferevent*, short what, void* self) {
         auto* s = static_cast<EventStream*>(self);
@@ -224,7 +244,7 @@
     event* late_ = nullptr;
     Closed failed_ = Closed::refused;
     bool* gone_ = nullptr;
-    bool dialling_ = false;
+    bool dialling_ = false, finishing_ = false;
     std::uint64_t written_ = 0;
 };
 
@@ -271,6 +291,14 @@
         getsockname(evconnlistener_get_fd(listener_), reinterpret_cast<sockaddr*>(&a), &length);
         return text(reinterpret_cast<sockaddr*>(&a));
     }
+    void accept_waiting() override {
+        for (;;) {
+            const evutil_socket_t fd =
+                accept4(evconnlistener_get_fd(listener_), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+            if (fd < 0) return;
+            then_(std::make_unique<EventStream>(loop_, fd));
+        }
+    }
 
 private:
     static void on_accept(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -43,6 +43,12 @@
     virtual std::size_t unsent() const = 0;    // written, and not in the kernel's hands
     virtual std::uint64_t handed() const = 0;  // bytes in the kernel's hands since the start; grows only
     virtual void read(bool on) = 0;            // off: nothing is received, the peer meets a full window
+    // Bytes of the peer lie in the kernel that were not handed on yet. Closing now would destroy them, and
+    // with them what the peer has not received.
+    virtual bool unread() const = 0;
+    // Half-close: says that no more comes once all that was written has left, and goes on receiving; what is
+    // written later is dropped. closed() tells when the peer has closed too.
+    virtual void finish() = 0;
     // Closes so that what the peer has not received yet never reaches it.
     virtual void abort() = 0;
     virtual std::string peer() const = 0;
@@ -52,6 +58,8 @@
 public:
     virtual ~Listener() = default;
     virtual std::string address() const = 0;  // the one really listened on: port 0 asks for any
+    // Hands on what the kernel has accepted already, in this call.
+    virtual void accept_waiting() = 0;
 };
 
 class Timer {
--- a/src/platform/bus_door.cpp
+++ b/src/platform/bus_door.cpp
@@ -8,6 +8,8 @@
 // A comment comes every second: half a second more without a byte, and the bus has fallen silent. What it
 // would have told counts as told 4 s after that began, so there is time for several tries.
 constexpr Nanos kSilent = 1500 * kMillisecond;
+// Bytes that make no whole line for so long are no word either: an event or a head that never ends.
+constexpr Nanos kLongestLine = 2 * kSilent;
 constexpr Nanos kDial = 500 * kMillisecond;
 // After a break; drawn anew each time, so that placers do not come together.
 constexpr Nanos kPause = 50 * kMillisecond, kMostPause = 800 * kMillisecond;
@@ -60,15 +62,24 @@
 
 void BusDoor::connected() {
     stream_->write(bus::request(address_, last_));
-    timer_->arm(loop_.now() + kSilent);
+    line_at_ = loop_.now();
+    timer_->arm(line_at_ + kSilent);
 }
 
 std::size_t BusDoor::received(std::string_view in) {
     if (!asking_) return in.size();
+    const std::uint64_t lines = reader_->lines();
     const bool well = reader_->read(in, [this](std::string_view data) { event(data); });
-    if (well) failed_ = 0;
-    if (well) timer_->arm(loop_.now() + kSilent);
-    else ask_later("no good answer");
+    if (!well) {
+        ask_later("no good answer");
+        return in.size();
+    }
+    const Nanos now = loop_.now();
+    if (reader_->lines() != lines) {
+        line_at_ = now;
+        failed_ = 0;
+    }
+    timer_->arm(std::min(now + kSilent, line_at_ + kLongestLine));
     return in.size();
 }
 
--- a/src/platform/bus_door.h
+++ b/src/platform/bus_door.h
@@ -46,7 +46,8 @@
     std::unique_ptr<bus::Reader> reader_;
     std::unique_ptr<net::Timer> timer_;
     bool asking_ = false;
-    int failed_ = 0;  // in a row
+    Nanos line_at_ = 0;  // when the last whole line came
+    int failed_ = 0;     // in a row
 };
 
 }  // namespace whinpost::platform
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr Nanos kLook = 100 * kMillisecond;
+constexpr Nanos kLook = 100 * kMillisecond, kLookLast = 5 * kMillisecond;
 // The planner's timers and the clock's own answer would else come in one pass, in either order.
 constexpr Nanos kClockGrace = 3 * kMillisecond;
 constexpr Nanos kEarly = 20 * kSecond;     // a host that stands in no list so long after is none
@@ -21,9 +21,12 @@
 // After SIGTERM connections come for up to 0.4 s and set-ups for 0.2 s more; the kill comes 0.7 s after the
 // longest deadline.
 constexpr Nanos kStillTaken = 680 * kMillisecond;
-constexpr std::size_t kSpareFiles = 24;  // standard streams, the loop's own, the listener, the bus, the file
-constexpr std::size_t kFilesForHosts = 4;  // one part in so many
-constexpr std::size_t kMostToOne = 12;     // connections to one host: a batch of a service's launches
+// For owners to close their side after ours, once nothing is owed to them. The kill comes a whole queue
+// timeout after the last set-up that is taken.
+constexpr Nanos kDrain = 400 * kMillisecond;
+constexpr std::size_t kMostToOne = 12;  // connections to one host: a batch of a service's launches
+// Where hosts hold more than there are descriptors, each in turn has one for so long: all within kLost.
+constexpr Nanos kItsTurn = kSecond;
 
 MachineKind largest_of(const std::vector<MachineKind>& kinds) {
     MachineKind most;
@@ -33,11 +36,6 @@
     }
     return most;
 }
-std::size_t usable(std::size_t descriptors) {
-    return descriptors > 2 * kSpareFiles ? descriptors - kSpareFiles : kSpareFiles;
-}
-std::size_t for_hosts(std::size_t descriptors) { return usable(descriptors) / kFilesForHosts; }
-std::size_t for_owners(std::size_t descriptors) { return usable(descriptors) - for_hosts(descriptors); }
 
 }  // namespace
 
@@ -51,20 +49,46 @@
     : loop_(loop), log_(log), ledger_(ledger), group_names_(std::move(group_names)),
       kind_names_(std::move(kind_names)), zone_names_(std::move(zone_names)), kinds_(std::move(kinds)),
       largest_(largest_of(kinds_)), dial_timeout_(dial_timeout), idle_(idle), seed_(seed), wheel_(loop.now()),
-      for_hosts_(for_hosts(descriptors)), owners_(loop, log, *this, for_owners(descriptors)),
-      bus_(loop, log, *this, zone_names_, kind_names_, seed), round_timer_(loop.timer([this] { round(); })),
-      turn_timer_(loop.timer([this] { turn(); })), look_timer_(loop.timer([this] { look(); })),
-      wake_timer_(loop.timer([this] { round(); })) {
+      budget_(descriptors), owners_(loop, log, *this), bus_(loop, log, *this, zone_names_, kind_names_, seed),
+      round_timer_(loop.timer([this] { round(); })), turn_timer_(loop.timer([this] { turn(); })),
+      look_timer_(loop.timer([this] { look(); })), wake_timer_(loop.timer([this] { round(); })) {
     look_timer_->arm(loop.now() + kLook);
 }
 Front::~Front() = default;
 
 void Front::plan_with(planner::Planning& p) { planner_ = &p; }
 
-std::size_t Front::connections() const {
-    std::size_t n = owners_.size();
-    for (const Host* h : hosts_) n += h->connections();
-    return n;
+std::size_t Front::connections() const { return owners_.size() + host_connections_; }
+
+// ---------------------------------------------------------------- descriptors
+
+bool Front::room_for_host() {
+    if (!budget_.host_fits(owners_.size(), host_connections_) && !close_least_useful()) return false;
+    ++host_connections_;
+    return true;
+}
+
+bool Front::room_for_owner() {
+    if (budget_.owner_fits(owners_.size(), host_connections_)) return true;
+    return budget_.hosts_make_room(owners_.size()) && close_least_useful();
+}
+
+// Guards against more hosts than descriptors: the watch on the list, or a client, would find none. Hosts
+// where nothing stands go first.
+bool Front::close_least_useful() {
+    const Nanos now = loop_.now();
+    Connection* out = nullptr;
+    std::pair<bool, Nanos> least;
+    for (Host* h : hosts_) {
+        Connection* c = h->least_useful();
+        if (!c) continue;
+        const std::pair of(h->holds_standing(), c->idle_since());
+        if ((of.first && now - of.second < kItsTurn) || (out && least <= of)) continue;
+        out = c;
+        least = of;
+    }
+    if (out) out->close();
+    return out != nullptr;
 }
 
 // ---------------------------------------------------------------- rounds and timers
@@ -106,13 +130,24 @@
     owners_.look(now);
     for (Host* h : hosts_) h->look(now);
     while (!waiting_.empty() && now - waiting_.front().since > kEarly) waiting_.pop_front();
-    while (!words_.empty() && now - words_.front().since > kWordKept) words_.pop_front();
-    if (closing_at_ && now >= closing_at_) {
-        bool owed = false;
-        for (const auto& [id, t] : by_id_) owed = owed || !t->standing;
-        if (!owed && done_) std::exchange(done_, nullptr)();
+    std::erase_if(words_, [now](const Word& w) { return now - w.since > kWordKept; });
+    if (closing_at_ && now >= closing_at_) wind_up(now);
+    look_timer_->arm(now + (gone_by_ ? kLookLast : kLook));
+}
+
+// Guards against what an exit destroys: answers that are written and have not left, set-ups that lie unread
+// in a socket or in the line of those not accepted yet, and releases of hosts that are heard and told to
+// nobody. So, once nothing is owed: hosts are heard no more, since what they say is said again to the next to
+// connect; then what owners wrote is read and refused, what was written to them leaves, and they close first.
+void Front::wind_up(Nanos now) {
+    if (!done_) return;
+    for (const auto& [id, t] : by_id_)
+        if (!t->standing) return;
+    if (!gone_by_) {
+        gone_by_ = now + kDrain;
+        for (Host* h : hosts_) h->hush();
     }
-    look_timer_->arm(now + kLook);
+    if (owners_.drain(now, gone_by_)) std::exchange(done_, nullptr)();
 }
 
 void Front::close(std::function<void()> done) {
@@ -164,7 +199,7 @@
     std::size_t there = 0;
     for (const auto& [name, k] : known_) there += k.host && k.listed.stage != Stage::gone;
     const std::size_t each =
-        std::clamp<std::size_t>(for_hosts_ / std::max<std::size_t>(there, 1), 1, kMostToOne);
+        std::clamp<std::size_t>(budget_.for_hosts() / std::max<std::size_t>(there, 1), 1, kMostToOne);
     for (Host* h : hosts_) h->most_connections(each);
     planner_->list_done(now, e.whole);
     if (!std::exchange(begun_, true)) planner_->begin(now);
@@ -269,6 +304,9 @@
     stands_for_owner(t);
     k.host->stands(t);
     log_(log::Level::debug, "taken_over", {{"task", s.name}, {"host", s.at}});
+    if (std::uint8_t cause = 0; k.host->said_over(id, cause))
+        standing_ended(t, cause == signalling::kOk ? Ending::served : Ending::reset, Reason::untold, cause,
+                       {});
     round_soon();
     return true;
 }
@@ -307,7 +345,7 @@
     // It may be the one that releases wait for.
     std::deque<Word> kept;
     for (Word& w : words_)
-        if (w.peer == o.peer()) refuse(o, w.id, w.cause);
+        if (w.peer == o.peer()) o.release(w.id, w.cause);
         else kept.push_back(std::move(w));
     words_ = std::move(kept);
 }
@@ -321,6 +359,11 @@
 }
 
 void Front::owner_left(Owner& o) {
+    if (owners_.hears())
+        for (const Owner::Unheard& u : o.unheard()) {
+            if (Owner* other = owners_.from(o.peer())) other->release(u.id, u.cause);
+            else words_.push_back({u.id, u.cause, o.peer(), u.since});
+        }
     for (Task* t : of(o))
         if (t->standing) {
             t->owner = nullptr;
@@ -428,7 +471,11 @@
           {"host", host.name()},
           {"number", t->record->launches.size()},
           {"ms", time_out / kMillisecond}});
-    host.launch(*t);
+    if (!host.launch(*t))
+        later_.push_back([this, n] {
+            if (Task* still = find(n); still && still->record->out && !still->standing && !still->on)
+                end_launch(*still, Ending::unsent, Reason::untold, {}, false);
+        });
 }
 
 bool Front::may_write(Task& t) {
@@ -489,6 +536,13 @@
 
 void Front::launch_ended(Task& t, Ending how, Reason why, const Report& report) {
     if (!t.record->out) return;
+    // Its time may run out between the bind and the write, in the same round.
+    if (in_round_) {
+        later_.push_back([this, n = t.record->number, how, why, report] {
+            if (Task* still = find(n); still && !still->on) launch_ended(*still, how, why, report);
+        });
+        return;
+    }
     // Answers can be late, or lost, while what they tell of stands and comes to its end: the platform wants
     // that end told to the owner, who asks again. Launched anew in silence, the container counted as lost.
     if (t.stood && (how == Ending::reset || how == Ending::served || how == Ending::cancelled)) {
@@ -508,7 +562,7 @@
 
 void Front::release_owner(Task& t, std::uint8_t cause) {
     Owner* to = t.owner ? t.owner : owners_.from(t.peer);
-    if (to) return refuse(*to, t.id, cause);
+    if (to) return to->release(t.id, cause);
     words_.push_back({t.id, cause, t.peer, loop_.now()});
 }
 
--- a/src/platform/front.h
+++ b/src/platform/front.h
@@ -14,6 +14,7 @@
 #include "net/net.h"
 #include "planner/planning.h"
 #include "platform/bus_door.h"
+#include "platform/descriptors.h"
 #include "platform/hosts.h"
 #include "platform/owners.h"
 #include "platform/set_up.h"
@@ -62,10 +63,13 @@
     void standing_ended(Task&, Ending, Reason, std::uint8_t cause, const Report&) override;
     void noted(Task&, std::string_view what, double figure) override;
     void reported(Host&, const Report&) override;
+    bool room_for_host() override;
+    void connection_ended() override { --host_connections_; }
 
     void set_up(Owner&, const signalling::Message&) override;
     void released(Owner&, std::uint64_t task) override;
     bool passes_tests() override { return !closing_at_; }
+    bool room_for_owner() override;
     void tested() override;
     void owner_came(Owner&) override;
     void owner_left(Owner&) override;
@@ -109,6 +113,8 @@
     void round_soon();
     void round();
     void look();
+    void wind_up(Nanos now);
+    bool close_least_useful();
     void turn();
     void arm();
 
@@ -122,7 +128,8 @@
     const std::uint64_t seed_;
     planner::Planning* planner_ = nullptr;
     wheel::Wheel wheel_;
-    const std::size_t for_hosts_;  // descriptors
+    const DescriptorBudget budget_;
+    std::size_t host_connections_ = 0;
     Owners owners_;
     BusDoor bus_;
     std::map<std::string, Known, std::less<>> known_;
@@ -136,7 +143,7 @@
     std::deque<std::function<void()>> later_;  // told to the planner after its round, never within
     std::unique_ptr<net::Timer> round_timer_, turn_timer_, look_timer_, wake_timer_;
     bool round_armed_ = false, in_round_ = false, was_tested_ = false, begun_ = false;
-    Nanos last_round_ = 0, closing_at_ = 0;
+    Nanos last_round_ = 0, closing_at_ = 0, gone_by_ = 0;
     std::function<void()> done_;
 };
 
--- a/src/platform/hosts.cpp
+++ b/src/platform/hosts.cpp
@@ -27,6 +27,10 @@
 constexpr Nanos kDialPause = 150 * kMillisecond, kMostDialPause = kSecond;
 constexpr int kRefusedForGood = 3;  // dials in a row: no process listens there, and its tasks died with it
 constexpr Nanos kLastWords = 1500 * kMillisecond;  // of a host that has left
+// Releases of what nobody has told us of yet: take-overs follow within a second of a start.
+constexpr Nanos kSaidOver = 10 * kSecond;
+constexpr std::size_t kMostSaidOver = 256;
+constexpr Nanos kNoUse = 50 * kMillisecond;  // a connection that is calling just now was heard just now
 
 constexpr std::pair<std::string_view, Reason> kReasons[] = {
     {"no_cores", Reason::no_cores},  {"no_memory", Reason::no_memory}, {"queue_full", Reason::queue_full},
@@ -230,6 +234,10 @@
             }
             host_.log_(log::Level::debug, "host_release_unknown",
                        {{"host", host_.name_}, {"task", m.task}, {"cause", cause}});
+            // Guards against what ended while this placer started anew: its host says so on the first
+            // connection, which may be before the owner says that it stands there.
+            if (host_.said_over_.size() >= kMostSaidOver) host_.said_over_.pop_front();
+            host_.said_over_.push_back({m.task, cause, host_.heard_});
             return;
         }
         case Type::note: {
@@ -278,15 +286,30 @@
     host_.broke(*this, was_up, false);
 }
 
+Nanos Connection::idle_since() const {
+    const Nanos last = std::max(used_, heard_);
+    if (!usable() || !up_ || busy() || !cuts_.empty() || host_.loop_.now() - last < kNoUse) return 0;
+    return stream_->unread() || stream_->unsent() ? 0 : last;
+}
+
+void Connection::close() {
+    broken_ = true;
+    timer_->disarm();
+    stream_.reset();
+    host_.broke(*this, true, false);
+}
+
 void Connection::closed(net::Closed why) {
     if (broken_) return;
     const bool was_up = up_;
     broken_ = true;
     timer_->disarm();
+    stream_->abort();  // its descriptor is free from now on
     host_.log_(
         log::Level::debug, "host_connection_ended",
         {{"host", host_.name_}, {"why", net::words(why)}, {"up", was_up}, {"launches", launches_.size()}});
     // A descriptor that we lack says nothing about the host.
+    if (why == net::Closed::out_of_files) host_.heard_ = host_.loop_.now();
     host_.broke(*this, was_up, !was_up && why == net::Closed::refused);
 }
 
@@ -316,8 +339,44 @@
 
 void Host::listed(const std::string& address, Stage stage) {
     if (stage == Stage::gone && stage_ != Stage::gone) gone_at_ = loop_.now();
+    const bool moved = address_ != address && !address_.empty();
+    const bool left = stage == Stage::gone && stage_ != Stage::gone;
     address_ = address;
     stage_ = stage;
+    if (!moved && !left) return;
+    // Guards against a dial that comes up at the host that has the address now: launches, cuts and tests of
+    // this one would reach that one. What is up still leads here; after a move it carries nothing new.
+    std::vector<Connection*> dialling;
+    for (const auto& c : connections_) {
+        if (!c->up()) dialling.push_back(c.get());
+        else if (moved) c->retired = true;
+    }
+    for (Connection* c : dialling) c->abandon(true);
+}
+
+void Host::hush() {
+    hushed_ = true;
+    for (const auto& c : connections_) c->stream_->read(false);
+}
+
+bool Host::said_over(std::uint64_t id, std::uint8_t& cause) const {
+    for (const Over& o : said_over_)
+        if (o.id == id) {
+            cause = o.cause;
+            return true;
+        }
+    return false;
+}
+
+Connection* Host::least_useful() {
+    Connection* out = nullptr;
+    Nanos since = 0;
+    for (const auto& c : connections_)
+        if (const Nanos s = c->idle_since(); s && (!out || s < since)) {
+            out = c.get();
+            since = s;
+        }
+    return out;
 }
 
 Task* Host::stands_here(std::uint64_t id) const {
@@ -335,14 +394,15 @@
     return least;
 }
 
-Connection& Host::dial() {
+Connection* Host::dial() {
+    if (hushed_ || !user_.room_for_host()) return nullptr;
     connections_.push_back(std::make_unique<Connection>(*this, loop_, address_, dial_timeout_));
-    return *connections_.back();
+    return connections_.back().get();
 }
 
 // A connection that breaks leaves all launches on it in doubt, so each goes on one of its own while there are
 // enough.
-void Host::launch(Task& t) {
+bool Host::launch(Task& t) {
     t.host = this;
     Connection* c = current();
     // The same id went out on it before, and that launch's end may still come there.
@@ -350,8 +410,10 @@
         c->retired = true;
         c = nullptr;
     }
-    if (c && c->load() > 0 && connections_.size() < most_) c = nullptr;
-    (c ? *c : dial()).launch(t);
+    if (!c || (c->load() > 0 && connections_.size() < most_))
+        if (Connection* more = dial()) c = more;
+    if (c) c->launch(t);
+    return c != nullptr;
 }
 
 void Host::give_up(Task& t) {
@@ -362,7 +424,8 @@
 void Host::test() {
     Connection* c = current();
     if (!c && stage_ == Stage::gone) return;  // whoever asked finds that it does not answer
-    (c ? *c : dial()).test();
+    if (!c) c = dial();
+    if (c) c->test();
 }
 
 void Host::stands(Task& t) {
@@ -394,6 +457,7 @@
     if (it == connections_.end()) return;
     left_.push_back(std::move(*it));  // it may be what is calling
     connections_.erase(it);
+    user_.connection_ended();
     if (refused) ++refused_;
     const Nanos pause = std::min(kMostDialPause, kDialPause << std::min(refused_, 4));
     dial_again_ = loop_.now() + (was_up ? kDialPause / 3 : pause);
@@ -439,6 +503,7 @@
         dialling = dialling || !c.up();
         ++i;
     }
+    while (!said_over_.empty() && now - said_over_.front().since > kSaidOver) said_over_.pop_front();
     // Nobody is there for them any more.
     if (stage_ == Stage::gone || refused_ >= kRefusedForGood || now - heard_ > kLost) cuts_.clear();
     if (up || dialling || (standing_.empty() && cuts_.empty())) return;
@@ -446,8 +511,8 @@
     if (stage_ == Stage::gone && now - gone_at_ > kLastWords) return all_over("left");
     if (now - heard_ > kLost) return all_over("silent");
     if (now < dial_again_ || stage_ == Stage::gone)
-        return;  // a new host may have the address of one that left
-    dial();
+        return;                 // a new host may have the address of one that left
+    if (!dial()) heard_ = now;  // a descriptor that we lack says nothing about the host
     dial_again_ = now + kDialPause;
 }
 
--- a/src/platform/hosts.h
+++ b/src/platform/hosts.h
@@ -29,6 +29,9 @@
     virtual void standing_ended(Task&, Ending, Reason, std::uint8_t cause, const Report&) = 0;
     virtual void noted(Task&, std::string_view what, double figure) = 0;
     virtual void reported(Host&, const Report&) = 0;  // by a test
+    // A descriptor for one more connection, which is taken where true; and given back.
+    virtual bool room_for_host() = 0;
+    virtual void connection_ended() = 0;
 };
 
 class Host;
@@ -47,6 +50,9 @@
     void test();
     void cut(std::uint64_t id);
     void abandon(bool abort);  // as if it had broken
+    // Of no use since then, with nothing on its way either way that is known of; 0: it is of use.
+    Nanos idle_since() const;
+    void close();  // after idle_since()
     void flush();
 
     bool retired = false;  // nothing new leaves on it
@@ -84,15 +90,23 @@
 
     const std::string& name() const { return name_; }
     std::uint32_t number() const { return number_; }
+    // What was dialled before it left, or moved, is given up: a new host may have the address.
     void listed(const std::string& address, Stage);
     void most_connections(std::size_t n) { most_ = n; }
+    // Hears nothing more: what it says is left for whoever connects to it next.
+    void hush();
 
-    void launch(Task&);
+    bool launch(Task&);  // false: no descriptor was free for it
     void give_up(Task&);
     void test();
     void stands(Task&);
+    // It said lately that this container, unknown then, is over, and why.
+    bool said_over(std::uint64_t id, std::uint8_t& cause) const;
     void take_down(Task&, bool cut);  // it stands no more, and is cut at the host
     std::size_t connections() const { return connections_.size(); }
+    // The connection that is of no use for the longest; null where there is none.
+    Connection* least_useful();
+    bool holds_standing() const { return !standing_.empty(); }
     // From time to time: silent and idle connections, hosts that are gone for good.
     void look(Nanos now);
 
@@ -100,7 +114,7 @@
     friend class Connection;
     Connection* current();  // the least loaded that may carry something new; null if there is none
     void cut(std::uint64_t id);
-    Connection& dial();
+    Connection* dial();  // null: no descriptor
     void broke(Connection&, bool was_up, bool refused);
     void all_over(std::string_view why);
     Task* stands_here(std::uint64_t id) const;
@@ -117,8 +131,15 @@
     std::vector<std::unique_ptr<Connection>> connections_, left_;
     std::map<std::uint64_t, Task*> standing_;
     std::vector<std::uint64_t> cuts_;  // for the next connection
+    struct Over {
+        std::uint64_t id;
+        std::uint8_t cause;
+        Nanos since;
+    };
+    std::deque<Over> said_over_;
     std::size_t most_ = 1;
     Nanos heard_ = 0;
+    bool hushed_ = false;
     int refused_ = 0;  // dials in a row
     Nanos dial_again_ = 0;
     std::uint64_t next_test_;
--- a/src/platform/owners.cpp
+++ b/src/platform/owners.cpp
@@ -17,6 +17,12 @@
 constexpr std::size_t kMostUnsent = 64 << 10;
 // A connection so young may only not have come to its first word yet.
 constexpr Nanos kJustCame = 100 * kMillisecond;
+// For a client to close its side of a connection that we have half-closed; a round trip is a few ms.
+constexpr Nanos kLinger = 500 * kMillisecond;
+// What is unread puts off a close so long at most: one that never stops sending is shown out all the same.
+constexpr Nanos kUnreadFor = 500 * kMillisecond;
+constexpr int kTriesToShowOut = 8;
+constexpr std::size_t kMostUnheard = 64;  // of one connection; each is heard within a round trip
 
 std::string host_of(const std::string& peer) { return peer.substr(0, peer.rfind(':')); }
 
@@ -26,6 +32,18 @@
     : owners_(owners), stream_(std::move(s)), peer_(host_of(stream_->peer())), since_(owners.loop_.now()),
       used_(since_) {}
 
+// Guards against a close that crosses the release: whoever says of releases that they were heard, and has not
+// said it of this one before its connection went, has not heard it.
+void Owner::release(std::uint64_t id, std::uint8_t cause) {
+    if (unheard_.size() >= kMostUnheard) unheard_.erase(unheard_.begin());
+    unheard_.push_back({id, cause, owners_.loop_.now()});
+    Message m;
+    m.type = Type::release;
+    m.task = id;
+    m.cause = cause;
+    write(m);
+}
+
 void Owner::write(const Message& m) {
     if (ended_) return;
     std::string bytes;
@@ -33,17 +51,28 @@
     stream_->write(bytes);
     told_ = true;
     used_ = owners_.loop_.now();
-    if (stream_->unsent() > kMostUnsent) end();  // it does not read
+    if (stream_->unsent() <= kMostUnsent) return;
+    // It does not read. It is ended at the next look, not here: answers are given from within a round of the
+    // planner, and what else is owed on this connection is to be told to the planner, which bears that
+    // between its rounds only.
+    stuck_ = true;
+    stream_->read(false);
 }
 
+// Guards against a close over bytes of the peer that were not read yet: the kernel would reset the
+// connection, and what was just answered would never arrive. So it is half-closed, and read on until the peer
+// closes.
 void Owner::end() {
     if (ended_) return;
     owners_.user_.owner_ends(*this);
     ended_ = true;
+    ended_at_ = owners_.loop_.now();
+    stream_->finish();
     owners_.leave(*this);
 }
 
 std::size_t Owner::received(std::string_view in) {
+    if (ended_) return in.size();
     bool spoilt = false;
     const std::size_t done = signalling::messages(in, spoilt, [this](const Message& m) {
         used_ = owners_.loop_.now();
@@ -75,16 +104,20 @@
                 owners_.user_.tested();
                 break;
             }
-            case Type::progress:
             case Type::release_heard:
+                owners_.hears_ = true;
+                std::erase_if(unheard_, [&m](const Unheard& u) { return u.id == m.task; });
+                break;
+            case Type::progress:
                 break;
             default:  // a host's word: no owner has any business with it
                 end();
         }
-        return !ended_;
+        return !ended_ && !stuck_;
     });
     if (spoilt) {
         owners_.log_(log::Level::debug, "owner_unreadable", {{"peer", peer_}});
+        stream_->read(false);  // there may be no end of it
         end();
     }
     half_since_ = done < in.size() ? (half_since_ ? half_since_ : owners_.loop_.now()) : 0;
@@ -92,12 +125,13 @@
 }
 
 void Owner::closed(net::Closed) {
+    closed_ = true;
+    stream_->abort();  // its descriptor is free from now on
     if (std::exchange(ended_, true)) return;
     owners_.leave(*this);
 }
 
-Owners::Owners(net::Loop& loop, const log::Log& log, OwnerUser& user, std::size_t most)
-    : loop_(loop), log_(log), user_(user), most_(most) {}
+Owners::Owners(net::Loop& loop, const log::Log& log, OwnerUser& user) : loop_(loop), log_(log), user_(user) {}
 
 std::string Owners::listen(const std::string& address) {
     std::string error;
@@ -112,23 +146,43 @@
 // connection for good: by age alone the busy ones went first, and by use alone those with a container that
 // stands, whose end could then be told to nobody.
 void Owners::accept(std::unique_ptr<net::Stream> s) {
-    if (owners_.size() >= most_) {
-        const Nanos now = loop_.now();
+    if (!user_.room_for_owner() && !show_out(loop_.now())) return s->abort();
+    Owner& o = *owners_.emplace_back(std::make_unique<Owner>(*this, std::move(s)));
+    loop_.use(*o.stream_, o);
+}
+
+// Called by the listener alone, so that no connection that goes here is what is calling.
+bool Owners::show_out(Nanos now) {
+    if (!left_.empty()) {
+        left_.erase(left_.begin());
+        return true;
+    }
+    std::vector<Owner*> kept;
+    for (int i = 0; i < kTriesToShowOut; ++i) {
         Owner* out = nullptr;
+        const auto may = [&kept](const Owner& o) {
+            return std::find(kept.begin(), kept.end(), &o) == kept.end();
+        };
         for (const auto& o : owners_)
-            if (!o->spoke_ && now - o->since_ >= kJustCame && (!out || o->since_ < out->since_))
+            if (!o->spoke_ && now - o->since_ >= kJustCame && may(*o) && (!out || o->since_ < out->since_))
                 out = o.get();
         if (!out) {
             const auto rank = [](const Owner& o) { return std::pair(o.standing_ > 0, o.used_); };
             for (const auto& o : owners_)
-                if (o->spoke_ && !o->open_ && (!out || rank(*o) < rank(*out))) out = o.get();
+                if (o->spoke_ && !o->open_ && may(*o) && (!out || rank(*o) < rank(*out))) out = o.get();
+        }
+        if (!out) return false;
+        // Guards against a set-up that was written before this moment, and an answer not yet handed over: the
+        // first would be taken by nobody, the second would not arrive.
+        if (out->stream_->unread() || out->stream_->unsent() > 0) {
+            kept.push_back(out);
+            continue;
         }
-        if (!out) return s->abort();
-        out->stream_->abort();
         out->end();
+        std::erase_if(left_, [out](const auto& p) { return p.get() == out; });
+        return true;
     }
-    Owner& o = *owners_.emplace_back(std::make_unique<Owner>(*this, std::move(s)));
-    loop_.use(*o.stream_, o);
+    return false;
 }
 
 void Owners::leave(Owner& o) {
@@ -147,15 +201,30 @@
 }
 
 void Owners::look(Nanos now) {
-    left_.clear();
+    std::erase_if(left_, [now](const auto& o) { return o->closed_ || now - o->ended_at_ > kLinger; });
     std::vector<Owner*> out;
-    for (const auto& o : owners_)
+    for (const auto& o : owners_) {
         // Words that call for no answer count for nothing: a release of what nobody knows, a container on a
         // host that no list names.
-        if ((!o->told_ && !o->open_ && !o->standing_ && now - o->since_ > kFirstWord) ||
-            (o->half_since_ && now - o->half_since_ > kHalfMessage))
-            out.push_back(o.get());
+        const Nanos late =
+            std::max(!o->told_ && !o->open_ && !o->standing_ ? now - o->since_ - kFirstWord : 0,
+                     o->half_since_ ? now - o->half_since_ - kHalfMessage : 0);
+        if (o->stuck_ || (late > 0 && (late > kUnreadFor || !o->stream_->unread()))) out.push_back(o.get());
+    }
+    for (Owner* o : out) o->end();
+}
+
+bool Owners::drain(Nanos now, Nanos by) {
+    if (listener_) {
+        listener_->accept_waiting();
+        listener_.reset();
+    }
+    std::vector<Owner*> out;
+    for (const auto& o : owners_)
+        if (!o->open_ && !o->stream_->unread()) out.push_back(o.get());
     for (Owner* o : out) o->end();
+    look(now);
+    return now >= by || size() == 0;
 }
 
 }  // namespace whinpost::platform
--- a/src/platform/owners.h
+++ b/src/platform/owners.h
@@ -19,7 +19,16 @@
 public:
     Owner(Owners&, std::unique_ptr<net::Stream>);
     void write(const signalling::Message&);
-    // What is owed on it is answered first, by the user; then it closes.
+    // The end of a container that stood; kept until it is heard.
+    void release(std::uint64_t id, std::uint8_t cause);
+    struct Unheard {
+        std::uint64_t id;
+        std::uint8_t cause;
+        Nanos since;
+    };
+    // Releases that did not reach it: to be asked once it has left.
+    const std::vector<Unheard>& unheard() const { return unheard_; }
+    // What is owed on it is answered first, by the user; then it closes, and what was written still leaves.
     void end();
     const std::string& peer() const { return peer_; }
 
@@ -32,9 +41,14 @@
     std::unique_ptr<net::Stream> stream_;
     std::string peer_;
     Nanos since_, used_, half_since_ = 0;
-    bool spoke_ = false, told_ = false, ended_ = false;  // told_: something was ever said to it
-    int open_ = 0;                                       // set-ups that wait for their answer
-    int standing_ = 0;                                   // containers whose end is to be told on it
+    bool spoke_ = false, told_ = false;  // told_: something was ever said to it
+    bool stuck_ = false;                 // it reads nothing
+    bool ended_ = false;                 // what is owed on it is answered
+    bool closed_ = false;                // by the peer
+    Nanos ended_at_ = 0;
+    std::vector<Unheard> unheard_;
+    int open_ = 0;      // set-ups that wait for their answer
+    int standing_ = 0;  // containers whose end is to be told on it
 };
 
 class OwnerUser {
@@ -43,6 +57,7 @@
     virtual void set_up(Owner&, const signalling::Message&) = 0;
     virtual void released(Owner&, std::uint64_t task) = 0;  // given up, or no longer wanted
     virtual bool passes_tests() = 0;
+    virtual bool room_for_owner() = 0;  // a descriptor for one more
     virtual void tested() = 0;
     virtual void owner_came(Owner&) = 0;  // its first whole message is about to be told
     virtual void owner_left(Owner&) = 0;  // to be forgotten
@@ -51,10 +66,14 @@
 
 class Owners {
 public:
-    Owners(net::Loop&, const log::Log&, OwnerUser&, std::size_t most);
+    Owners(net::Loop&, const log::Log&, OwnerUser&);
     std::string listen(const std::string& address);  // empty, or what is wrong
     void look(Nanos now);
-    std::size_t size() const { return owners_.size(); }
+    std::size_t size() const { return owners_.size() + left_.size(); }
+    // Takes no new connection and half-closes those on which nothing is open or unread. True once all are
+    // closed on both sides, or `by` has come.
+    bool drain(Nanos now, Nanos by);
+    bool hears() const { return hears_; }
     // An open connection from that address; null if there is none.
     Owner* from(const std::string& peer);
     void opened(Owner& o) { ++o.open_; }
@@ -64,13 +83,14 @@
 private:
     friend class Owner;
     void accept(std::unique_ptr<net::Stream>);
+    bool show_out(Nanos now);
     void leave(Owner&);
 
     net::Loop& loop_;
     const log::Log& log_;
     OwnerUser& user_;
-    const std::size_t most_;
     std::unique_ptr<net::Listener> listener_;
+    bool hears_ = false;  // owners here say that they have heard releases
     std::vector<std::unique_ptr<Owner>> owners_, left_;
 };
 
--- /dev/null
+++ b/tests/platform_sockets_rig.h
@@ -0,0 +1,312 @@
+// The platform's front on real sockets, among owners, hosts and a bus that a test plays by hand. The loop
+// turns only where the test says so: what is written between two turns has come, all of it, before the next.
+#pragma once
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "net/event_loop.h"
+#include "platform/front.h"
+#include "quiet_planner.h"
+
+namespace whinpost {
+
+using signalling::Message;
+using signalling::Type;
+
+inline sockaddr_in loopback(int port) {
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    a.sin_port = htons(static_cast<std::uint16_t>(port));
+    return a;
+}
+inline void must(bool well, const char* what) {
+    if (!well) throw std::runtime_error(std::string("the rig: ") + what);
+}
+
+// One end of a connection.
+class Plug {
+public:
+    struct Got {
+        Type type;
+        std::uint64_t task;
+        int cause;
+        std::string description;
+    };
+    Plug() = default;
+    explicit Plug(int fd) : fd_(fd) {}
+    Plug(Plug&& o) noexcept { *this = std::move(o); }
+    Plug& operator=(Plug&& o) noexcept {
+        std::swap(fd_, o.fd_);
+        std::swap(in_, o.in_);
+        std::swap(text, o.text);
+        std::swap(got, o.got);
+        std::swap(ended, o.ended);
+        std::swap(reset, o.reset);
+        return *this;
+    }
+    ~Plug() { close(); }
+
+    static Plug dial(int port) {
+        Plug p(::socket(AF_INET, SOCK_STREAM, 0));
+        const sockaddr_in to = loopback(port);
+        must(::connect(p.fd_, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0, "connect");
+        return p;
+    }
+    bool open() const { return fd_ >= 0; }
+    void raw(std::string_view bytes) {
+        must(::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()),
+             "send");
+    }
+    void say(const Message& m) {
+        std::string bytes;
+        signalling::append(bytes, m);
+        raw(bytes);
+    }
+    void answer(std::uint64_t id, std::string_view description = "stands") {
+        Message m;
+        m.type = Type::answer;
+        m.task = id;
+        m.description = description;
+        say(m);
+    }
+    void release(std::uint64_t id, std::uint8_t cause) {
+        Message m;
+        m.type = Type::release;
+        m.task = id;
+        m.cause = cause;
+        say(m);
+    }
+    void plain(Type type, std::uint64_t id, std::uint8_t cause = 0) {
+        Message m;
+        m.type = type;
+        m.task = id;
+        if (type == Type::test || type == Type::tested) m.cause = cause;
+        say(m);
+    }
+    // Reads all that is there.
+    void take() {
+        if (fd_ < 0) return;
+        char bytes[4096];
+        for (;;) {
+            const ssize_t n = ::recv(fd_, bytes, sizeof bytes, MSG_DONTWAIT);
+            if (n > 0) {
+                in_.append(bytes, static_cast<std::size_t>(n));
+                text.append(bytes, static_cast<std::size_t>(n));
+                continue;
+            }
+            ended = ended || n == 0;
+            reset = reset || (n < 0 && errno != EAGAIN);  // after an end it shows as a broken pipe
+            break;
+        }
+        Message m;
+        std::size_t used = 0;
+        while (signalling::read(in_, m, used) == signalling::Read::whole) {
+            got.push_back({m.type, m.task, m.cause ? *m.cause : -1, std::string(m.description.value_or(""))});
+            in_.erase(0, used);
+        }
+    }
+    std::size_t count(Type t, std::uint64_t id) const {
+        std::size_t n = 0;
+        for (const Got& g : got) n += g.type == t && g.task == id;
+        return n;
+    }
+    void close() {
+        if (fd_ >= 0) ::close(std::exchange(fd_, -1));
+    }
+    void break_off() {
+        const linger at_once{1, 0};
+        setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+        close();
+    }
+
+    std::string text;  // all that came
+    std::vector<Got> got;
+    bool ended = false, reset = false;
+
+private:
+    int fd_ = -1;
+    std::string in_;
+};
+
+class Ear {
+public:
+    explicit Ear(int backlog = 64, int port = 0) : fd_(::socket(AF_INET, SOCK_STREAM, 0)) {
+        const int on = 1;
+        setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        sockaddr_in a = loopback(port);
+        must(::bind(fd_, reinterpret_cast<sockaddr*>(&a), sizeof a) == 0, "bind");
+        must(::listen(fd_, backlog) == 0, "listen");
+        socklen_t length = sizeof a;
+        getsockname(fd_, reinterpret_cast<sockaddr*>(&a), &length);
+        port_ = ntohs(a.sin_port);
+        fcntl(fd_, F_SETFL, O_NONBLOCK);
+    }
+    ~Ear() { close(); }
+    Ear(const Ear&) = delete;
+    Ear& operator=(const Ear&) = delete;
+    int port() const { return port_; }
+    std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+    // All that have come are accepted and read.
+    void take() {
+        for (int fd; fd_ >= 0 && (fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK)) >= 0;)
+            lines.push_back(std::make_unique<Plug>(fd));
+        for (const auto& l : lines) l->take();
+    }
+    std::size_t count(Type t, std::uint64_t id) const {
+        std::size_t n = 0;
+        for (const auto& l : lines) n += l->count(t, id);
+        return n;
+    }
+    std::size_t bytes() const {
+        std::size_t n = 0;
+        for (const auto& l : lines) n += l->text.size();
+        return n;
+    }
+    void close() {
+        if (fd_ >= 0) ::close(std::exchange(fd_, -1));
+    }
+    std::vector<std::unique_ptr<Plug>> lines;
+
+private:
+    int fd_, port_ = 0;
+};
+
+struct SocketRig {
+    struct Planner : QuietPlanner {
+        void withdrawn(Nanos, planner::ContainerNumber) override { ++gone; }
+        void heard(Nanos, planner::NodeNumber, const Report&) override { ++reports; }
+        void ended(Nanos, planner::ContainerNumber, int, Ending how, Reason, bool, const Report&) override {
+            endings.push_back(how);
+        }
+        void round(Nanos) override {
+            if (in_round) in_round();
+        }
+        int gone = 0, reports = 0;
+        std::vector<Ending> endings;
+        std::function<void()> in_round;
+    };
+
+    explicit SocketRig(std::size_t descriptors = 256, Nanos dial_timeout = 10 * kSecond)
+        : port(Ear().port()), ledger(groups(), {4, true}, {0.25, 10 * kSecond, 3, 2 * kSecond, 40, 3, 0}),
+          front(std::make_unique<platform::Front>(
+              loop, log, ledger, std::vector<std::string>{"free", "marked", "once"},
+              std::vector<MachineKind>{{16, 32}}, std::vector<std::string>{"std"},
+              std::vector<std::string>{"a", "b"}, dial_timeout, 15 * kSecond, descriptors, 5)) {
+        front->plan_with(planner);
+        must(front->listen("127.0.0.1:" + std::to_string(port)).empty(), "the front listens");
+        front->bus().follow(bus.address(), 0);
+    }
+    static std::vector<QueueGroup> groups() {
+        std::vector<QueueGroup> out(3);
+        out[1].effect = Effect::fingerprinted;
+        out[1].repeats_dropped_by = Place::cell;
+        out[1].repeat_window = 5 * kSecond;
+        out[2].effect = Effect::side_effecting;
+        return out;
+    }
+
+    void turn() { event_base_loop(loop.base(), EVLOOP_NONBLOCK); }
+    void turns(int n) {
+        while (n-- > 0) turn();
+    }
+    // Turns until it holds; a failure of the test where it does not for very long.
+    void until(const std::function<bool()>& holds) {
+        const Nanos give_up = loop.now() + 20 * kSecond;
+        while (!holds()) {
+            must(loop.now() < give_up, "what was waited for does not come");
+            turn();
+            usleep(100);
+        }
+    }
+    // Time passes, and the loop stands still.
+    void stand_still(Nanos by) {
+        for (const Nanos to = loop.now() + by; loop.now() < to;) usleep(1000);
+    }
+    Plug owner() { return Plug::dial(port); }
+
+    static std::string entry(const std::string& name, const std::string& address,
+                             const char* state = "active") {
+        return R"({"host":")" + name + R"(","dial":")" + address +
+               R"(","site":"a","class":"std","block":1,"health":")" + state +
+               R"(","share":1,"born_ms":0,"free":[16,32]})";
+    }
+    std::string event(const std::vector<std::string>& entries, bool whole = false) {
+        std::string list;
+        for (const std::string& e : entries) list += (list.empty() ? "" : ",") + e;
+        const std::string n = std::to_string(++events);
+        return "id: " + n + "\ndata: {\"offset\":" + n + R"(,"topology":{"seq":1,"whole":)" +
+               (whole ? "true" : "false") + R"(,"hosts":[)" + list + "]}}\n\n";
+    }
+    static std::string head() { return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"; }
+    // Told by the events of the start, which need no connection.
+    void known(const std::vector<std::string>& entries, bool whole = false) {
+        const std::string e = event(entries, whole);
+        const std::size_t from = e.find("data: ") + 6;
+        front->bus().known(std::string_view(e).substr(from, e.size() - from - 2));
+    }
+    static std::string set_up(std::uint64_t id, const std::string& group = "free",
+                              const std::string& more = "", int wait_ms = 15'000) {
+        Message m;
+        m.type = Type::set_up;
+        m.task = id;
+        std::string name(16, '0');
+        for (std::size_t i = 16, rest = id; i-- > 0; rest >>= 4) name[i] = "0123456789abcdef"[rest & 15];
+        const std::string wait = std::to_string(wait_ms),
+                          figures = "cores:1;memory:2;service:00000000b4d65521" + more;
+        m.group = group;
+        m.wait = wait;
+        m.name = name;
+        m.figures = figures;
+        m.description = "asked";
+        if (group == "marked") m.key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+        std::string out;
+        signalling::append(out, m);
+        return out;
+    }
+    // A container of `o` that is launched on host 0, the set-up come whole to it.
+    planner::ContainerNumber launched(Plug& o, Ear& host, std::uint64_t id,
+                                      const std::string& group = "free") {
+        const std::size_t before = planner.taken.size();
+        o.raw(set_up(id, group));
+        until([&] { return planner.taken.size() == before + 1; });
+        front->bind(planner.taken.back(), 0, 10 * kSecond);
+        until([&] {
+            host.take();
+            return host.count(Type::set_up, id) == 1;
+        });
+        return planner.taken.back();
+    }
+    void standing(Plug& o, Ear& host, std::uint64_t id) {
+        launched(o, host, id);
+        host.lines.back()->answer(id);
+        until([&] {
+            o.take();
+            return o.count(Type::answer, id) == 1;
+        });
+    }
+
+    net::EventLoop loop;
+    log::Log log;
+    Ear bus;
+    int port;
+    ledger::Ledger ledger;
+    Planner planner;
+    std::unique_ptr<platform::Front> front;
+    std::int64_t events = 0;
+};
+
+}  // namespace whinpost
--- /dev/null
+++ b/tests/platform_sockets_test.cpp
@@ -0,0 +1,482 @@
+// The platform's front on real sockets: what happens between two of its steps, in the bad order each time.
+#include <catch2/catch.hpp>
+
+#include "platform_sockets_rig.h"
+
+using namespace whinpost;
+
+namespace {
+
+constexpr Nanos kPastTaking = 800 * kMillisecond;  // after the call to end nothing new is taken any more
+
+// The end, as its owners see it: each closes once it sees that we have.
+void see_out(SocketRig& t, std::vector<Plug*> owners, bool& done) {
+    t.until([&] {
+        for (Plug* o : owners) {
+            o->take();
+            if (o->ended || o->reset) o->close();
+        }
+        return done;
+    });
+}
+
+}  // namespace
+
+// ---------------------------------------------------------------- the end of the process
+
+TEST_CASE(
+    "a request that came in two halves round the call to end is answered, and its connection not reset") {
+    SocketRig t;
+    Plug o = t.owner();
+    const std::string bytes = SocketRig::set_up(7);
+    o.raw(bytes.substr(0, bytes.size() / 2));
+    t.until([&] { return t.front->connections() == 1; });
+    t.turns(3);
+    bool done = false;
+    t.front->close([&] { done = true; });
+    t.turns(3);
+    o.raw(bytes.substr(bytes.size() / 2));
+    t.until([&] { return t.planner.taken.size() == 1; });
+    t.front->defer(t.planner.taken[0], 0);
+    see_out(t, {&o}, done);
+    CHECK(o.count(Type::release, 7) == 1);
+    CHECK(o.ended);
+    CHECK(!o.reset);
+}
+
+TEST_CASE("what lies in the line of connections or unread at the end is refused, not reset") {
+    SocketRig t;
+    const bool accepted = GENERATE(false, true);
+    Plug o;
+    if (accepted) {
+        o = t.owner();
+        t.until([&] { return t.front->connections() == 1; });
+    }
+    bool done = false;
+    t.front->close([&] { done = true; });
+    t.turns(3);
+    // In one pass of the loop, after it has asked the kernel what there is and before it looks round.
+    auto between = t.loop.timer([&] {
+        if (!accepted) o = t.owner();
+        o.raw(SocketRig::set_up(7));
+    });
+    between->arm(t.loop.now());
+    t.stand_still(kPastTaking);
+    t.turn();
+    see_out(t, {&o}, done);
+    t.front.reset();
+    o.take();
+    CHECK(o.count(Type::release, 7) == 1);
+    CHECK(!o.reset);
+}
+
+TEST_CASE("what an owner says while the process ends does not reset the connection that its answer is on") {
+    SocketRig t;
+    Plug o = t.owner();
+    o.raw(SocketRig::set_up(7));
+    t.until([&] { return t.planner.taken.size() == 1; });
+    bool done = false;
+    t.front->close([&] {
+        done = true;
+        if (o.open()) o.plain(Type::progress, 7);
+    });
+    t.stand_still(kPastTaking);
+    t.front->defer(t.planner.taken[0], 0);
+    see_out(t, {&o}, done);
+    t.front.reset();
+    o.take();
+    CHECK(o.count(Type::release, 7) == 1);
+    CHECK(!o.reset);
+}
+
+TEST_CASE("what a host says once owners can be told nothing more is left for the next placer") {
+    SocketRig t;
+    Ear host;
+    t.known({SocketRig::entry("h", host.address())}, true);
+    Plug o = t.owner();
+    t.standing(o, host, 7);
+    bool done = false;
+    t.front->close([&] { done = true; });
+    t.until([&] {
+        o.take();
+        return o.ended;
+    });
+    host.lines.back()->release(7, signalling::kOk);
+    t.until([&] { return done; });
+    CHECK(t.planner.endings.empty());
+    CHECK(t.ledger.open() == 1);
+}
+
+// ---------------------------------------------------------------- clients that go
+
+TEST_CASE("a client that closes as its launch is refused is launched nowhere else") {
+    SocketRig t;
+    Ear host;
+    t.known({SocketRig::entry("h", host.address())}, true);
+    Plug o = t.owner();
+    const auto n = t.launched(o, host, 7);
+    const bool ahead = GENERATE(false, true);  // bytes lie before its close
+    if (ahead)
+        for (std::uint64_t id = 100; id < 150; ++id) o.raw(SocketRig::set_up(id, "no such class"));
+    host.lines.back()->release(7, signalling::kFull);
+    o.close();
+    t.until([&] { return t.front->tasks() == 0; });
+    t.front->bind(n, 0, kSecond);
+    t.turns(20);
+    host.take();
+    CHECK(host.count(Type::set_up, 7) == 1);
+}
+
+TEST_CASE("a client that goes while its launch waits for a connection: nothing leaves once that comes up") {
+    SocketRig t;
+    Ear host(0);
+    Plug full[] = {Plug::dial(host.port())};  // the line of a host that accepts nothing
+    t.known({SocketRig::entry("h", host.address())}, true);
+    Plug o = t.owner();
+    o.raw(SocketRig::set_up(7));
+    t.until([&] { return t.planner.taken.size() == 1; });
+    t.front->bind(t.planner.taken[0], 0, 10 * kSecond);
+    t.turns(5);
+    o.close();
+    t.until([&] { return t.front->tasks() == 0; });
+    t.until([&] {
+        host.take();
+        return host.lines.size() == 2;
+    });
+    t.turns(20);
+    host.take();
+    CHECK(host.count(Type::set_up, 7) == 0);
+    full[0].close();
+}
+
+TEST_CASE("a cancel that crosses the host's yes leaves nothing standing") {
+    SocketRig t;
+    Ear host;
+    t.known({SocketRig::entry("h", host.address())}, true);
+    Plug o = t.owner();
+    t.launched(o, host, 7);
+    if (GENERATE(true, false)) {
+        host.lines.back()->answer(7);
+        o.release(7, signalling::kGivenUp);
+    } else {
+        o.release(7, signalling::kGivenUp);
+        t.turns(5);
+        host.lines.back()->answer(7);
+    }
+    t.until([&] {
+        host.take();
+        return host.count(Type::release, 7) >= 1 && t.front->tasks() == 0;
+    });
+    o.take();
+    CHECK(o.count(Type::answer, 7) + o.count(Type::release, 7) <= 1);
+    CHECK(host.count(Type::set_up, 7) == 1);
+}
+
+TEST_CASE("a request that comes in single bytes is taken as one") {
+    SocketRig t;
+    Plug o = t.owner();
+    for (const char c : SocketRig::set_up(7)) {
+        o.raw(std::string_view(&c, 1));
+        t.turn();
+    }
+    t.until([&] { return t.planner.taken.size() == 1; });
+    o.take();
+    CHECK(o.got.empty());
+    CHECK(!o.ended);
+}
+
+// ---------------------------------------------------------------- connections of owners
+
+TEST_CASE(
+    "a full house does not show out an owner whose request lies unread, nor one whose answer has not left") {
+    SocketRig t(64);
+    // 40 of 64 are for connections, 30 of them for owners while hosts hold none.
+    std::vector<Plug> owners;
+    for (int i = 0; i < 30; ++i) {
+        owners.push_back(t.owner());
+        owners.back().plain(Type::test, 1);
+        t.until([&] {
+            owners.back().take();
+            return owners.back().count(Type::tested, 1) == 1;
+        });
+    }
+    REQUIRE(t.front->connections() == 30);
+    // The new one has come first, so its turn is first in the pass; the request of the one that was of no use
+    // for the longest lies unread by then.
+    Plug more = t.owner();
+    owners[0].raw(SocketRig::set_up(7));
+    more.plain(Type::test, 2);
+    t.until([&] {
+        more.take();
+        return more.count(Type::tested, 2) == 1;
+    });
+    t.until([&] { return t.planner.taken.size() == 1; });
+    owners[0].take();
+    CHECK(!owners[0].ended);
+    CHECK(!owners[0].reset);
+}
+
+TEST_CASE("a release that met its owner's close is said again on the next connection from there") {
+    SocketRig t;
+    Ear host;
+    t.known({SocketRig::entry("h", host.address())}, true);
+    Plug o = t.owner();
+    t.standing(o, host, 7);
+    t.standing(o, host, 8);
+    host.lines.front()->release(7, signalling::kOk);
+    t.until([&] {
+        o.take();
+        return o.count(Type::release, 7) == 1;
+    });
+    o.plain(Type::release_heard, 7);
+    host.lines.front()->release(8, signalling::kOk);
+    t.until([&] { return t.front->tasks() == 0; });
+    t.turns(3);
+    o.close();  // the release lies in its socket, unread
+    t.until([&] { return t.front->connections() == host.lines.size(); });
+    Plug next = t.owner();
+    next.plain(Type::test, 1);
+    t.until([&] {
+        next.take();
+        return next.count(Type::tested, 1) == 1;
+    });
+    CHECK(next.count(Type::release, 8) == 1);
+    CHECK(next.count(Type::release, 7) == 0);
+}
+
+// ---------------------------------------------------------------- hosts
+
+TEST_CASE("an answer and a reset that come together: it stands, and is launched once") {
+    SocketRig t;
+    Ear host;
+    t.known({SocketRig::entry("h", host.address())}, true);
+    Plug o = t.owner();
+    t.launched(o, host, 7, "once");
+    host.lines.back()->answer(7);
+    host.lines.back()->break_off();
+    t.until([&] {
+        o.take();
+        return !o.got.empty();
+    });
+    t.turns(20);
+    o.take();
+    host.take();
+    REQUIRE(o.got.size() == 1);
+    CHECK(o.got[0].type == Type::answer);
+    CHECK(host.count(Type::set_up, 7) == 1);
+    CHECK(t.front->tasks() == 1);
+}
+
+TEST_CASE("a second answer that comes late changes nothing") {
+    SocketRig t;
+    Ear host;
+    t.known({SocketRig::entry("h", host.address())}, true);
+    Plug o = t.owner();
+    t.standing(o, host, 7);
+    host.lines.back()->answer(7, "another");
+    host.lines.back()->release(7, signalling::kOk);
+    host.lines.back()->answer(7, "once more");
+    t.until([&] {
+        o.take();
+        return o.count(Type::release, 7) == 1;
+    });
+    t.turns(20);
+    o.take();
+    CHECK(o.got.size() == 2);
+    CHECK(!host.lines.back()->ended);
+}
+
+TEST_CASE(
+    "an idle connection that its host closes as a launch leaves: in doubt, and never twice where that "
+    "harms") {
+    SocketRig t;
+    Ear host;
+    t.known({SocketRig::entry("h", host.address())}, true);
+    Plug o = t.owner();
+    t.standing(o, host, 7);
+    o.raw(SocketRig::set_up(8, "once"));
+    t.until([&] { return t.planner.taken.size() == 2; });
+    host.lines.back()->close();
+    t.front->bind(t.planner.taken[1], 0, 10 * kSecond);
+    t.until([&] { return !t.planner.endings.empty(); });
+    CHECK(t.planner.endings[0] != Ending::served);
+    t.front->defer(t.planner.taken[1], 0);
+    t.until([&] {
+        o.take();
+        return o.count(Type::release, 8) == 1;
+    });
+    // Written or not, nobody can tell: a deferral would invite it to run twice.
+    if (t.planner.endings[0] == Ending::reset) CHECK(o.got.back().cause == signalling::kReset);
+    else CHECK(o.got.back().cause == signalling::kTryLater);
+}
+
+TEST_CASE("a dial that was begun before its host left says nothing to the one that has its address now") {
+    SocketRig t;
+    Ear gone(0);
+    Plug in_line = Plug::dial(gone.port());  // it accepts nothing
+    t.known({SocketRig::entry("h", gone.address())}, true);
+    const bool by_cut = GENERATE(true, false);
+    Plug o = t.owner();
+    if (by_cut) {  // taken over there, and ended by its owner while the connection is not up
+        o.raw(SocketRig::set_up(7, "free", ";at:h"));
+        t.until([&] { return t.front->tasks() == 1; });
+        o.release(7, signalling::kCancelled);
+        t.until([&] { return t.front->tasks() == 0; });
+    } else t.front->probe(0);
+    t.turns(5);
+    t.known({SocketRig::entry("h", gone.address(), "left"), SocketRig::entry("heir", gone.address())});
+    // The line moves on: from here on it is the heir who accepts.
+    t.until([&] {
+        gone.take();
+        return gone.lines.size() >= 1;
+    });
+    t.stand_still(1200 * kMillisecond);  // the dial's next try, if there is one
+    for (int i = 0; i < 50; ++i) {
+        t.turn();
+        gone.take();
+        usleep(1000);
+    }
+    CHECK(gone.bytes() == 0);
+}
+
+TEST_CASE(
+    "what ended while the placer started anew is released, though its host says so before its owner asks") {
+    SocketRig t;
+    Ear host;
+    t.known({SocketRig::entry("h", host.address())}, true);
+    t.front->probe(0);
+    t.until([&] {
+        host.take();
+        return host.lines.size() == 1 && !host.lines[0]->got.empty();
+    });
+    host.lines[0]->release(7, signalling::kOk);
+    host.lines[0]->plain(Type::tested, host.lines[0]->got[0].task, signalling::kPassed);
+    t.until([&] { return t.planner.reports == 1; });
+    Plug o = t.owner();
+    o.raw(SocketRig::set_up(7, "free", ";at:h"));
+    t.until([&] {
+        o.take();
+        return !o.got.empty();
+    });
+    CHECK(o.count(Type::release, 7) == 1);
+    CHECK(o.got[0].cause == signalling::kOk);
+    CHECK(t.front->tasks() == 0);
+}
+
+TEST_CASE("more hosts than descriptors: the sum holds, each has its turn, and the watch finds one") {
+    SocketRig t(64);
+    std::vector<std::unique_ptr<Ear>> hosts;
+    std::vector<std::string> entries;
+    for (int i = 0; i < 60; ++i) {
+        hosts.push_back(std::make_unique<Ear>());
+        entries.push_back(SocketRig::entry("h" + std::to_string(i), hosts.back()->address()));
+    }
+    t.known(entries, true);
+    std::size_t most = 0;
+    const auto heard_by_all = [&] {
+        std::size_t n = 0;
+        for (const auto& h : hosts) {
+            h->take();
+            for (const auto& l : h->lines)
+                for (const auto& g : l->got)
+                    if (g.type == Type::test && !l->ended)
+                        l->plain(Type::tested, g.task, signalling::kPassed);
+            for (const auto& l : h->lines) l->got.clear();
+            n += !h->lines.empty();
+        }
+        most = std::max(most, t.front->connections());
+        return n == hosts.size();
+    };
+    std::uint32_t next = 0;
+    t.until([&] {
+        t.front->probe(next++ % 60);
+        return heard_by_all();
+    });
+    std::vector<Plug> idle;
+    for (int i = 0; i < 60; ++i) {
+        idle.push_back(t.owner());
+        t.turn();
+        most = std::max(most, t.front->connections());
+    }
+    CHECK(most <= 40);
+    t.bus.take();
+    for (const auto& l : t.bus.lines) l->close();
+    const std::size_t before = t.bus.lines.size();
+    t.until([&] {
+        t.bus.take();
+        heard_by_all();
+        return t.bus.lines.size() > before;
+    });
+    CHECK(most <= 40);
+}
+
+// ---------------------------------------------------------------- the watch on the list
+
+TEST_CASE("a watch that says nothing whole is opened again, from the last number") {
+    SocketRig t;
+    const int how = GENERATE(0, 1, 2, 3);
+    // From its first byte; after an event; a head that never ends; an event that never does.
+    t.until([&] {
+        t.bus.take();
+        return t.bus.lines.size() == 1 && !t.bus.lines[0]->text.empty();
+    });
+    Plug& first = *t.bus.lines[0];
+    if (how == 1) first.raw(SocketRig::head() + t.event({SocketRig::entry("h", "127.0.0.1:1")}, true));
+    if (how == 2) first.raw("HTTP/1.1 200 OK\r\nX-Long: ");
+    if (how == 3) first.raw(SocketRig::head() + "data: {");
+    t.until([&] {
+        t.bus.take();
+        if (how >= 2 && !first.ended && !first.reset && t.bus.lines.size() == 1) first.raw("a");
+        return t.bus.lines.size() == 2 && !t.bus.lines[1]->text.empty();
+    });
+    const std::string last = how == 1 ? "Last-Event-ID: 1\r\n" : "Last-Event-ID: 0\r\n";
+    CHECK(t.bus.lines[1]->text.find(last) != std::string::npos);
+}
+
+TEST_CASE("a new address in the middle of an event: the event comes whole from there, and once") {
+    SocketRig t;
+    t.until([&] {
+        t.bus.take();
+        return t.bus.lines.size() == 1 && !t.bus.lines[0]->text.empty();
+    });
+    const std::string e = t.event({SocketRig::entry("h", "127.0.0.1:1")}, true);
+    t.bus.lines[0]->raw(SocketRig::head() + e.substr(0, e.size() / 2));
+    t.turns(5);
+    CHECK(t.front->hosts() == 0);
+    Ear other;
+    t.front->bus().moved(other.address());
+    t.front->bus().moved(other.address());  // told twice
+    t.until([&] {
+        other.take();
+        return !other.lines.empty() && !other.lines.back()->text.empty();
+    });
+    CHECK(other.lines.back()->text.find("Last-Event-ID: 0\r\n") != std::string::npos);
+    other.lines.back()->raw(SocketRig::head() + e + e);
+    t.until([&] { return t.front->bus().last() == 1; });
+    t.turns(5);
+    CHECK(t.front->hosts() == 1);
+    t.bus.take();
+    CHECK(t.bus.lines[0]->ended);
+}
+
+TEST_CASE("a whole list that leaves a host out: nothing is launched there, by anybody's books") {
+    SocketRig t;
+    Ear host, other;
+    t.known({SocketRig::entry("h", host.address()), SocketRig::entry("o", other.address())}, true);
+    Plug o = t.owner();
+    t.standing(o, host, 7);
+    o.raw(SocketRig::set_up(8));
+    t.until([&] { return t.planner.taken.size() == 2; });
+    t.known({SocketRig::entry("o", other.address())}, true);
+    t.front->bind(t.planner.taken[1], 0, kSecond);
+    t.turns(20);
+    host.take();
+    CHECK(host.count(Type::set_up, 8) == 0);
+    CHECK(t.ledger.tally().refused_to_planner == 1);
+    // What stands there still has its last words.
+    host.lines.back()->release(7, signalling::kOk);
+    t.until([&] {
+        o.take();
+        return o.count(Type::release, 7) == 1;
+    });
+}
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -428,6 +428,51 @@
     CHECK(t.front.connections() <= 2);
 }
 
+TEST_CASE(
+    "an owner that reads none of its answers is ended between two rounds of the planner, never within one") {
+    constexpr std::size_t kAsked = 14'000;  // their refusals are over what a connection holds
+    struct AllAtOnce : QuietPlanner {
+        explicit AllAtOnce(platform::Front& f) : front(f) {}
+        void round(Nanos) override {
+            if (taken.size() < kAsked) return;
+            in_round = true;
+            for (std::size_t i = 0; i < kAsked - 50; ++i) front.defer(taken[i], kSecond * 1'000'000'000);
+            in_round = false;
+        }
+        void withdrawn(Nanos, planner::ContainerNumber) override {
+            ++gone;
+            within += in_round;
+        }
+        platform::Front& front;
+        bool in_round = false;
+        int gone = 0, within = 0;
+    };
+    PlatformRig t;
+    AllAtOnce planner(t.front);
+    t.front.plan_with(planner);
+    Line& o = t.owner();
+    o.stream->read(false);
+    Message m;
+    m.type = Type::set_up;
+    m.group = "free";
+    m.wait = "60000";
+    m.figures = "cores:1;memory:2;service:00000000b4d65521";
+    m.description = "asked";
+    for (std::uint64_t id = 1; id <= kAsked; ++id) {
+        const std::string name = PlatformRig::name_of(id);
+        m.task = id;
+        m.name = name;
+        o.say(m);
+    }
+    t.run(kSecond);
+    REQUIRE(planner.taken.size() == kAsked);
+    CHECK(planner.gone == 50);
+    CHECK(planner.within == 0);
+    CHECK(t.front.tasks() == 0);
+    t.run(kSecond);
+    CHECK(t.front.connections() == 0);
+}
+
 TEST_CASE("the bus breaks mid-event, repeats events, falls silent, moves: asked again with the last number") {
     PlatformRig t;
     t.start();
