Silent hosts are given up after 7.5 s; a placer new in a turn sends no cold host anything

PROTOCOL leaves 8 s. - src/decide.cpp, young_bears: a placer that starts anew has forgotten what it sent to a cold machine in this turn and sent its part again. It sends none before the next turn. A slow count over 3, 16 and 30 placers, some restarted in the middle of a turn, fails without it. - Ledger::may_still_send: a fingerprinted repeat allowed at 4.9 s of a 5 s window left up to a dial later. The window is asked at the write too. - A machine listed with a later start than before holds nothing from before: what stood there is released, unless it was sent since.

--- a/include/whinpost/placer.h
+++ b/include/whinpost/placer.h
@@ -297,7 +297,7 @@
            ask_memory_ = 0;            // fading sums behind the use ratios
     std::vector<double> usual_start_;  // seconds, by queue group, without and with the program known there
     double answer_s_;                  // usual time to a yes
-    Nanos last_round_ = 0, next_wake_ = 0, next_working_ = 0;
+    Nanos begun_ = 0, last_round_ = 0, next_wake_ = 0, next_working_ = 0;
     Nanos retry_list_ = 0, retry_gap_ = 0;
     Nanos short_until_ =
         0;  // until then the working set is one machine larger for each round that found none
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -84,7 +84,8 @@
 
 // ---------------------------------------------------------------- the list of machines
 
-void Placer::begin(Nanos) {
+void Placer::begin(Nanos now) {
+    begun_ = now;
     if (list_.on_request) port_.follow_list();
 }
 
@@ -565,6 +566,8 @@
 // by however many placers at once. It needs clocks that agree to a part of the window.
 bool Placer::young_bears(Nanos now, Machine& m) const {
     if (m.turns >= 0) return m.turns > 0;  // it knows best what it bears
+    // Who started anew in this turn has forgotten what it sent in it before, and may have sent its part.
+    if (begun_ && now / cold_.window == begun_ / cold_.window) return false;
     const std::int64_t all = cold_.placers, half = static_cast<std::int64_t>(cold_.always_borne / 2);
     const std::int64_t turn = now / cold_.window + static_cast<std::int64_t>(m.mark % 1'000'003);
     const std::int64_t place = (cold_.me + turn) % all;
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -235,7 +235,14 @@
 }
 
 bool Ledger::may_still_send(Nanos now, const Launch& l) const {
-    return !l.over && l.record->answer == Answer::none && now < l.until && !l.node->drains() && l.node->known;
+    // Guards against a repeat that was allowed, waited for its connection, and would come to its node after
+    // the time for which repeats are dropped there.
+    const Record& r = *l.record;
+    if (const Launch* first = first_maybe(r); first && first != &l &&
+                                              r.group->effect == Effect::fingerprinted &&
+                                              now - first->sent >= r.group->repeat_window)
+        return false;
+    return !l.over && r.answer == Answer::none && now < l.until && !l.node->drains() && l.node->known;
 }
 
 // ---------------------------------------------------------------- what becomes of a launch
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -165,6 +165,7 @@
     for (const bus::Entry& entry : e.hosts) {
         named.push_back(entry.host);
         Known& k = known_[entry.host];
+        const Nanos started = k.listed.started;
         if (entry.address) k.address = *entry.address;
         if (entry.zone) k.listed.zone = *entry.zone;
         if (entry.kind) k.listed.kind = *entry.kind;
@@ -185,6 +186,9 @@
         k.host->listed(k.address, k.listed.stage);
         ledger_.listed(now, *k.node, k.listed);
         planner_->node(now, k.host->number(), mark_of(entry.host), k.listed);
+        // Guards against a machine that is back before anybody missed it: it answers, so it is not lost, and
+        // knows nothing of what stood there.
+        if (k.listed.started > started) k.host->started_anew(k.listed.started);
     }
     if (e.whole) {
         std::sort(named.begin(), named.end());
--- a/src/platform/hosts.cpp
+++ b/src/platform/hosts.cpp
@@ -23,7 +23,8 @@
 // which comes up if the machine is there.
 constexpr Nanos kSilent = 3500 * kMillisecond;
 // So long without a word and without a connection, and what stood there is over. PROTOCOL leaves 8 s.
-constexpr Nanos kLost = 5500 * kMillisecond;
+// Less than a cut of some seconds would end containers that run on behind it.
+constexpr Nanos kLost = 7500 * kMillisecond;
 constexpr Nanos kDialPause = 150 * kMillisecond, kMostDialPause = kSecond;
 constexpr int kRefusedForGood = 3;  // dials in a row: no process listens there, and its tasks died with it
 constexpr Nanos kLastWords = 1500 * kMillisecond;  // of a host that has left
@@ -354,6 +355,15 @@
     for (Connection* c : dialling) c->abandon(true);
 }
 
+void Host::started_anew(Nanos at) {
+    const auto all = standing_;
+    for (const auto& [id, t] : all)
+        if (standing_.contains(id) && t->record->out && t->record->out->sent < at) {
+            log_(log::Level::info, "host_started_anew", {{"host", name_}, {"task", t->name}});
+            user_.standing_ended(*t, Ending::reset, Reason::untold, signalling::kReset, {});
+        }
+}
+
 void Host::hush() {
     hushed_ = true;
     for (const auto& c : connections_) c->stream_->read(false);
--- a/src/platform/hosts.h
+++ b/src/platform/hosts.h
@@ -93,6 +93,8 @@
     // What was dialled before it left, or moved, is given up: a new host may have the address.
     void listed(const std::string& address, Stage);
     void most_connections(std::size_t n) { most_ = n; }
+    // What stood there before is over.
+    void started_anew(Nanos at);
     // Hears nothing more: what it says is left for whoever connects to it next.
     void hush();
 
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -284,3 +284,19 @@
     led.give(3, r, Answer::withdrawn);
     CHECK_FALSE(led.may_still_send(3, *l));
 }
+
+TEST_CASE("a repeat that waited for its connection past the window is not sent any more") {
+    ledger::Ledger led({group(Effect::fingerprinted)}, {4, true}, {});
+    ledger::Node& n = led.meet("n");
+    led.listed(kSecond, n, serving());
+    ledger::Record& r = led.take(kSecond, "c", 1, asking(0, 20 * kSecond));
+    ledger::Refusal why{};
+    ledger::Launch* first = led.launch(kSecond, r, n, kSecond, why);
+    REQUIRE(first);
+    CHECK(led.may_still_send(kSecond, *first));
+    led.ended(2 * kSecond, *first, Ending::reset);
+    ledger::Launch* second = led.launch(4 * kSecond - kMillisecond, r, n, 5 * kSecond, why);
+    REQUIRE(second);
+    CHECK(led.may_still_send(4 * kSecond - kMillisecond, *second));
+    CHECK(!led.may_still_send(4 * kSecond, *second));
+}
--- a/tests/placer_test.cpp
+++ b/tests/placer_test.cpp
@@ -212,6 +212,44 @@
     }
 }
 
+TEST_CASE(
+    "placers that start anew within a turn and have forgotten what they sent push no cold machine over") {
+    const auto [placers, borne] = GENERATE(table<int, int>({{3, 13}, {16, 44}, {30, 44}, {30, 9}}));
+    const int each = GENERATE(2, 3, 7);  // turns of one in so many to start anew
+    std::vector<std::unique_ptr<Stand>> all;
+    std::vector<Nanos> sent;
+    Nanos now = 1000 * kSecond;
+    const auto start = [&, placers = placers, borne = borne](int i) {
+        ColdTerms cold{0.2, 16 * kSecond, 2, kSecond, static_cast<double>(borne), placers, i};
+        auto t = std::make_unique<Stand>(std::vector{QueueGroup{}}, cold);
+        t->now = now;
+        t->machine(0, 0, 1000 * kSecond);
+        t->placer.begin(now);
+        return t;
+    };
+    for (int i = 0; i < placers; ++i) all.push_back(start(i));
+    for (int step = 1; step < 100; ++step) {
+        now += 50 * kMillisecond;
+        for (int i = 0; i < placers; ++i) {
+            // Each in its turn, in the middle of a second, when most have sent their part.
+            if (step % 20 == 10 && (i + step / 20) % each == 0) all[static_cast<std::size_t>(i)] = start(i);
+            Stand& t = *all[static_cast<std::size_t>(i)];
+            t.now = now;
+            t.take(t.placer.meet_service(1));
+            const auto before = t.seen.size();
+            t.placer.round(now);
+            for (auto s = before; s < t.seen.size(); ++s)
+                if (t.seen[s].what == 'b') sent.push_back(now);
+        }
+    }
+    REQUIRE(sent.size() >= static_cast<std::size_t>(borne / 2));
+    for (const Nanos from : sent) {
+        int lately = 0;
+        for (const Nanos at : sent) lately += at >= from && at - from < kSecond;
+        REQUIRE(lately <= borne);
+    }
+}
+
 TEST_CASE("beside much unknown load, one bad note does not put the only known neighbour past the bound") {
     Stand t;
     Machine& m = t.machine();
--- a/tests/platform_sockets_rig.h
+++ b/tests/platform_sockets_rig.h
@@ -112,6 +112,10 @@
             reset = reset || (n < 0 && errno != EAGAIN);  // after an end it shows as a broken pipe
             break;
         }
+        int error = 0;
+        socklen_t length = sizeof error;
+        getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &length);  // a reset after the end shows here only
+        reset = reset || error != 0;
         Message m;
         std::size_t used = 0;
         while (signalling::read(in_, m, used) == signalling::Read::whole) {
--- a/tests/platform_sockets_test.cpp
+++ b/tests/platform_sockets_test.cpp
@@ -12,6 +12,7 @@
 // The end, as its owners see it: each closes once it sees that we have.
 void see_out(SocketRig& t, std::vector<Plug*> owners, bool& done) {
     t.until([&] {
+        if (done) return true;
         for (Plug* o : owners) {
             o->take();
             if (o->ended || o->reset) o->close();
@@ -363,6 +364,29 @@
     CHECK(t.front->tasks() == 0);
 }
 
+TEST_CASE("a machine that is listed as started anew holds nothing from before, and what came to it since") {
+    SocketRig t;
+    Ear host;
+    t.known({SocketRig::entry("h", host.address())}, true);
+    Plug o = t.owner();
+    t.standing(o, host, 7);
+    t.stand_still(2 * kMillisecond);
+    const Nanos back = t.loop.now() / kMillisecond * kMillisecond;
+    t.stand_still(2 * kMillisecond);
+    t.standing(o, host, 8);
+    std::string e = SocketRig::entry("h", host.address());
+    e.replace(e.find("\"born_ms\":0"), 11, "\"born_ms\":" + std::to_string(back / kMillisecond));
+    t.known({e});
+    t.until([&] {
+        o.take();
+        return o.count(Type::release, 7) == 1;
+    });
+    t.turns(20);
+    o.take();
+    CHECK(o.count(Type::release, 8) == 0);
+    CHECK(t.front->tasks() == 1);
+}
+
 TEST_CASE("more hosts than descriptors: the sum holds, each has its turn, and the watch finds one") {
     SocketRig t(64);
     std::vector<std::unique_ptr<Ear>> hosts;
