--- a/include/whinpost/placer.h
+++ b/include/whinpost/placer.h
@@ -241,6 +241,9 @@
                      const Service&) const;  // the design's weighted sum, for readers and tests
     bool may_bind(Nanos now, const Container&, const Machine&) const;
     bool may_defer(const Container&) const;
+    // How many attempts this placer may send in the turn of `now` to a machine in slow start that bears that
+    // mark. Over all placers and any two turns they are no more than the machine always bears.
+    static std::int64_t slow_start_tokens(const ColdTerms&, std::uint64_t mark, Nanos now);
 
 private:
     friend class Container;
--- a/lab/sim.cpp
+++ b/lab/sim.cpp
@@ -45,6 +45,9 @@
         if (on) wake();
     }
     bool unread() const override { return !incoming_.empty() && process_.world_.now_ >= arrives_; }
+    bool peer_closed() const override {
+        return broken_ || (ending_.has_value() && process_.world_.now_ >= ends_at_);
+    }
     void finish() override {
         if (std::exchange(finishing_, true)) return;
         half_close();
@@ -76,7 +79,8 @@
         o->ending_ = how;
         if (how == net::Closed::reset) o->incoming_.clear();
         const Self to = other_;
-        w.post(std::max(w.now() + w.delay(process_, o->process_), o->arrives_), &o->process_, [to] {
+        o->ends_at_ = std::max(w.now() + w.delay(process_, o->process_), o->arrives_);
+        w.post(o->ends_at_, &o->process_, [to] {
             if (*to) (*to)->come_to_end();
         });
     }
@@ -164,7 +168,7 @@
     std::deque<std::string> incoming_;
     std::size_t incoming_bytes_ = 0;
     std::uint64_t written_ = 0;
-    Nanos arrives_ = 0;
+    Nanos arrives_ = 0, ends_at_ = 0;
     std::optional<net::Closed> ending_;
     bool reading_ = true, dialling_ = false, broken_ = false, telling_ = false;
     bool finishing_ = false, half_closed_ = false;
@@ -220,6 +224,7 @@
     : world_(w), host_(std::move(host)), zone_(zone), number_(number) {}
 
 Nanos Process::now() const { return world_.now_; }
+Nanos Process::unseen_since() const { return world_.now_ == resumed_at_ ? stalled_at_ : world_.now_; }
 
 std::unique_ptr<net::Listener> Process::listen(const std::string& address,
                                                std::function<void(std::unique_ptr<net::Stream>)> then,
@@ -388,10 +393,14 @@
 
 void World::slow(const std::string& host, Nanos more) { slow_[host] = more; }
 
-void World::stall(Process& p) { p.stalled_ = true; }
+void World::stall(Process& p) {
+    p.stalled_ = true;
+    p.stalled_at_ = now_;
+}
 
 void World::resume(Process& p) {
     p.stalled_ = false;
+    p.resumed_at_ = now_;
     std::vector<std::function<void()>> parked;
     parked.swap(p.parked_);
     for (auto& then : parked) post(now_, &p, std::move(then));
--- a/lab/sim.h
+++ b/lab/sim.h
@@ -34,6 +34,8 @@
 public:
     Process(World&, std::string host, int zone, int number);
     Nanos now() const override;
+    Nanos polled_at() const override { return unseen_since(); }
+    Nanos unseen_since() const override;
     std::unique_ptr<net::Listener> listen(const std::string& address,
                                           std::function<void(std::unique_ptr<net::Stream>)>,
                                           std::string& error) override;
@@ -56,6 +58,7 @@
     std::string host_;
     int zone_, number_;
     bool stalled_ = false;
+    Nanos stalled_at_ = 0, resumed_at_ = 0;
     std::vector<std::function<void()>> parked_;  // while it stands still
     bool stopped_ = false, alive_ = true;
     int files_ = 1 << 20;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -559,19 +559,28 @@
     return m.listed.started > 0 && now - m.listed.started < cold_.warm_after + cold_.window;
 }
 
+constexpr Nanos kTurnGap = 50 * kMillisecond;  // the slack that the rules' own time limits have
+
 // The design's ramp. All placers together may make a stated number of offers to a cold machine in any window.
 // Time is cut into turns as long as a window, which overlaps two of them at most, so half of that number is
 // dealt out in each turn: the placers stand in a circle that moves on by one each turn; the one at place p
 // gets what the running total of the half gains from p to p + 1. Guards against any rush to a cold machine,
-// by however many placers at once. It needs clocks that agree to a part of the window.
+// by however many placers at once. It needs clocks that agree to a part of the window. Nothing is dealt out
+// at the start of a turn, for as long as an attempt may be on its way and clocks may differ: else what leaves
+// at the end of one turn, in the next, and at the start of the third could arrive within one window.
+std::int64_t Placer::slow_start_tokens(const ColdTerms& cold, std::uint64_t mark, Nanos now) {
+    if (now % cold.window < std::min(kTurnGap, cold.window / 8)) return 0;
+    const std::int64_t all = cold.placers, half = static_cast<std::int64_t>(cold.always_borne / 2);
+    const std::int64_t turn = now / cold.window + static_cast<std::int64_t>(mark % 1'000'003);
+    const std::int64_t place = (cold.me + turn) % all;
+    return (place + 1) * half / all - place * half / all;
+}
+
 bool Placer::young_bears(Nanos now, Machine& m) const {
     if (m.turns >= 0) return m.turns > 0;  // it knows best what it bears
     // Who started anew in this turn has forgotten what it sent in it before, and may have sent its part.
     if (begun_ && now / cold_.window == begun_ / cold_.window) return false;
-    const std::int64_t all = cold_.placers, half = static_cast<std::int64_t>(cold_.always_borne / 2);
-    const std::int64_t turn = now / cold_.window + static_cast<std::int64_t>(m.mark % 1'000'003);
-    const std::int64_t place = (cold_.me + turn) % all;
-    return m.offers.sum(now, 1) < static_cast<double>((place + 1) * half / all - place * half / all);
+    return m.offers.sum(now, 1) < static_cast<double>(slow_start_tokens(cold_, m.mark, now));
 }
 
 // ---------------------------------------------------------------- choosing
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "whinpost/mark.h"
+
 namespace whinpost::ledger {
 
 std::string_view words(Refusal r) {
@@ -74,6 +76,7 @@
     if (it == nodes_.end()) {
         it = nodes_.emplace(std::string(name), Node{}).first;
         it->second.name = name;
+        it->second.mark = mark_of(name);
     }
     return it->second;
 }
@@ -197,13 +200,10 @@
     if (young(now, n) && n.turns >= 0) {
         if (n.turns == 0) return Refusal::cold;
     } else if (young(now, n)) {
-        // The dealt-out part: half of what is always borne, shared by all placers, in each of the two turns
-        // that any window overlaps. Whoever deals it out better must still stay under this.
-        const auto half = static_cast<std::int64_t>(cold_.always_borne / 2);
-        const std::int64_t part = 2 * ((half + cold_.placers - 1) / cold_.placers);
-        std::int64_t lately = 0;
-        for (const Nanos at : n.young_sends) lately += now - at < cold_.window;
-        if (lately >= part) return Refusal::cold;
+        // The placers share nothing, so that all keep to the same dealing is what bounds their sum.
+        std::int64_t in_turn = 0;
+        for (const Nanos at : n.young_sends) in_turn += at / cold_.window == now / cold_.window;
+        if (in_turn >= Placer::slow_start_tokens(cold_, n.mark, now)) return Refusal::cold;
     }
     return Refusal::none;
 }
@@ -230,7 +230,7 @@
     r.out = &l;
     ++n.launches_out;
     if (young(now, n)) {
-        while (!n.young_sends.empty() && now - n.young_sends.front() >= cold_.window)
+        while (!n.young_sends.empty() && n.young_sends.front() / cold_.window != now / cold_.window)
             n.young_sends.pop_front();
         n.young_sends.push_back(now);
     }
@@ -245,6 +245,12 @@
     if (const Launch* first = first_maybe(r);
         first && first != &l && r.group->effect == Effect::fingerprinted && past_window(now, r, *first))
         return false;
+    // Guards against a server in slow start that is sent more than it bears: by an attempt that waited for
+    // its connection into another turn than its token was of, or that was meant for the server before its
+    // restart and took none.
+    if (young(now, *l.node) && l.node->turns < 0 &&
+        (l.sent / cold_.window != now / cold_.window || l.sent < l.node->listed.started))
+        return false;
     return !l.over && r.answer == Answer::none && now < l.until && !l.node->drains() && l.node->known;
 }
 
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -31,7 +31,7 @@
                       // run
     past_window,      // fingerprinted: they remember it no longer
     spread,           // over the most of one service in one place
-    cold,             // over this placer's part of what a cold machine always bears
+    cold,             // over this placer's tokens for a machine in slow start
 };
 std::string_view words(Refusal);
 
@@ -42,11 +42,12 @@
 
 struct Node {
     std::string name;
+    std::uint64_t mark = 0;  // of its name
     Listed listed;
     bool known = false;                             // in the list
     bool drain_listed = false, drain_said = false;  // by the list; by the node itself
     Nanos drain_heard = 0;                          // when the first of the two was, while either stands
-    std::deque<Nanos> young_sends;                  // to it while cold, those within one window
+    std::deque<Nanos> young_sends;                  // to it while cold, those of one turn
     int launches_out = 0, held = 0;
     int turns = -1;  // while cold it lets this placer send so many; -1: it does not say
 
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -6,6 +6,7 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <time.h>
@@ -47,8 +48,8 @@
     return {static_cast<time_t>(d / kSecond), static_cast<suseconds_t>(d % kSecond / kMicrosecond)};
 }
 
-// How much is read from one stream in one pass: a flood on one does not keep the others waiting.
-constexpr std::size_t kReadAtOnce = 64 << 10;
+// A poll that took so long found nothing at first, and woke for what came.
+constexpr Nanos kPollWaited = kMillisecond;
 
 // host:port or [host]:port; libevent's own parser knows no port 0.
 bool parse(const std::string& address, sockaddr_storage& out, int& length) {
@@ -128,6 +129,7 @@
             base, -1, EV_TIMEOUT,
             [](evutil_socket_t, short, void* self) {
                 auto* s = static_cast<EventStream*>(self);
+                s->loop_.enter();
                 s->user_->closed(s->failed_);
             },
             this);
@@ -171,6 +173,10 @@
         int bytes = 0;
         return fd >= 0 && ioctl(fd, FIONREAD, &bytes) == 0 && bytes > 0;
     }
+    bool peer_closed() const override {
+        pollfd of{bufferevent_getfd(bev_), POLLRDHUP, 0};
+        return of.fd >= 0 && poll(&of, 1, 0) == 1 && (of.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    }
     void finish() override {
         if (std::exchange(finishing_, true)) return;
         if (!dialling_ && unsent() == 0) half_close();
@@ -209,6 +215,7 @@
     }
     static void on_read(bufferevent* bev, void* self) {
         auto* s = static_cast<EventStream*>(self);
+        s->loop_.enter();
         evbuffer* in = bufferevent_get_input(bev);
         bool gone = false;
         s->gone_ = &gone;
@@ -221,12 +228,14 @@
     }
     static void on_write(bufferevent*, void* self) {
         auto* s = static_cast<EventStream*>(self);
+        s->loop_.enter();
         if (s->dialling_) return;
         if (s->finishing_) s->half_close();
         s->user_->drained();
     }
     static void on_event(bufferevent*, short what, void* self) {
         auto* s = static_cast<EventStream*>(self);
+        s->loop_.enter();
         if (what & BEV_EVENT_CONNECTED) {
             s->dialling_ = false;
             s->no_delay();
@@ -303,6 +312,7 @@
 private:
     static void on_accept(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
         auto* l = static_cast<EventListener*>(self);
+        l->loop_.enter();
         l->then_(std::make_unique<EventStream>(l->loop_, fd));
     }
     EventLoop& loop_;
@@ -314,10 +324,14 @@
 class EventTimer final : public Timer {
 public:
     EventTimer(EventLoop& loop, std::function<void()> then)
-        : loop_(loop), then_(std::move(then)),
-          event_(event_new(
-              loop.base(), -1, EV_TIMEOUT,
-              [](evutil_socket_t, short, void* self) { static_cast<EventTimer*>(self)->then_(); }, this)) {}
+        : loop_(loop), then_(std::move(then)), event_(event_new(
+                                                   loop.base(), -1, EV_TIMEOUT,
+                                                   [](evutil_socket_t, short, void* self) {
+                                                       auto* t = static_cast<EventTimer*>(self);
+                                                       t->loop_.enter();
+                                                       t->then_();
+                                                   },
+                                                   this)) {}
     ~EventTimer() override { event_free(event_); }
     void arm(Nanos at) override {
         const timeval wait = span(at - loop_.now());
@@ -334,8 +348,12 @@
 }  // namespace
 
 struct EventLoop::Signal {
+    EventLoop& loop;
     std::function<void()> then;
     event* on = nullptr;
+    Signal(EventLoop& l, std::function<void()> f) : loop(l), then(std::move(f)) {}
+    Signal(const Signal&) = delete;
+    Signal& operator=(const Signal&) = delete;
     ~Signal() {
         if (on) event_free(on);
     }
@@ -349,7 +367,12 @@
     event_config_free(with);
     if (!base_) throw std::runtime_error("no event loop can be had from the system");
     flush_ = event_new(
-        base_, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<EventLoop*>(self)->flush(); },
+        base_, -1, 0,
+        [](evutil_socket_t, short, void* self) {
+            auto* loop = static_cast<EventLoop*>(self);
+            loop->enter();
+            loop->flush();
+        },
         this);
 }
 EventLoop::~EventLoop() {
@@ -360,6 +383,10 @@
 
 Nanos EventLoop::now() const { return clock(CLOCK_MONOTONIC) + offset_; }
 
+Nanos EventLoop::unseen_since() const {
+    return polled_at_ - poll_began_at_ >= kPollWaited ? polled_at_ : previous_poll_at_;
+}
+
 std::unique_ptr<Listener> EventLoop::listen(const std::string& address,
                                             std::function<void(std::unique_ptr<Stream>)> then,
                                             std::string& error) {
@@ -382,10 +409,14 @@
 }
 
 void EventLoop::on_signal(int number, std::function<void()> then) {
-    auto s = std::make_unique<Signal>();
-    s->then = std::move(then);
+    auto s = std::make_unique<Signal>(*this, std::move(then));
     s->on = evsignal_new(
-        base_, number, [](evutil_socket_t, short, void* self) { static_cast<Signal*>(self)->then(); },
+        base_, number,
+        [](evutil_socket_t, short, void* self) {
+            auto* signal = static_cast<Signal*>(self);
+            signal->loop.enter();
+            signal->then();
+        },
         s.get());
     event_add(s->on, nullptr);
     signals_.push_back(std::move(s));
@@ -410,7 +441,20 @@
     flushing_.clear();
 }
 
-void EventLoop::run() { event_base_loop(base_, EVLOOP_NO_EXIT_ON_EMPTY); }
-void EventLoop::stop() { event_base_loopbreak(base_); }
+void EventLoop::pass(bool wait) {
+    previous_poll_at_ = polled_at_ ? polled_at_ : now();
+    poll_began_at_ = polled_at_ = now();
+    entered_ = false;
+    event_base_loop(base_, EVLOOP_ONCE | (wait ? EVLOOP_NO_EXIT_ON_EMPTY : EVLOOP_NONBLOCK));
+}
+
+void EventLoop::run() {
+    for (stopping_ = false; !stopping_;) pass(true);
+}
+
+void EventLoop::stop() {
+    stopping_ = true;
+    event_base_loopbreak(base_);
+}
 
 }  // namespace whinpost::net
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -1,5 +1,6 @@
 // The loop on real sockets: libevent with bufferevents.
 #pragma once
+#include <utility>
 #include <vector>
 
 #include "net/net.h"
@@ -14,6 +15,8 @@
     EventLoop();
     ~EventLoop() override;
     Nanos now() const override;
+    Nanos polled_at() const override { return polled_at_; }
+    Nanos unseen_since() const override;
     std::unique_ptr<Listener> listen(const std::string& address, std::function<void(std::unique_ptr<Stream>)>,
                                      std::string& error) override;
     std::unique_ptr<Stream> dial(const std::string& address, StreamUser&) override;
@@ -21,11 +24,16 @@
     std::unique_ptr<Timer> timer(std::function<void()>) override;
     void stop() override;
 
-    void run();  // until stop()
+    void run();            // until stop()
+    void pass(bool wait);  // one poll and the callbacks of what it found; `wait`: until there is something
     // Calls `then` in the loop for each arrival of the signal.
     void on_signal(int signal, std::function<void()> then);
     event_base* base() { return base_; }
 
+    // Called first by each callback of the loop.
+    void enter() {
+        if (!std::exchange(entered_, true)) polled_at_ = now();
+    }
     // For its streams: one that has written in this pass, and one that is destroyed.
     void flush_later(Stream&);
     void forget(Stream&);
@@ -39,6 +47,9 @@
     Nanos offset_;  // from the monotonic clock to the time of day, taken once: all placers of a fleet cut the
                     // time into the same turns, and a clock that is set later moves nothing
     std::vector<std::unique_ptr<Signal>> signals_;
+    bool stopping_ = false;
+    bool entered_ = false;  // a callback of this pass has run
+    Nanos poll_began_at_ = 0, polled_at_ = 0, previous_poll_at_ = 0;
 };
 
 }  // namespace whinpost::net
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -23,6 +23,10 @@
 };
 std::string_view words(Closed);
 
+// Bytes that are read from one stream in one pass: a flood on one does not keep the others waiting. libevent
+// 2.1 reads no more at once, whatever it is asked for.
+constexpr std::size_t kReadAtOnce = 4096;
+
 // Told what happens on one stream. A stream may be destroyed within any of these calls.
 class StreamUser {
 public:
@@ -46,6 +50,8 @@
     // Bytes of the peer lie in the kernel that were not handed on yet. Closing now would destroy them, and
     // with them what the peer has not received.
     virtual bool unread() const = 0;
+    // The peer has closed or half-closed its side; what it wrote before may still be unread.
+    virtual bool peer_closed() const = 0;
     // Half-close: says that no more comes once all that was written has left, and goes on receiving; what is
     // written later is dropped. closed() tells when the peer has closed too.
     virtual void finish() = 0;
@@ -73,6 +79,11 @@
 public:
     virtual ~Loop() = default;
     virtual Nanos now() const = 0;  // of this pass of the loop; never backwards
+    // When this pass asked the kernel what there is: what has come since then is not known yet.
+    virtual Nanos polled_at() const = 0;
+    // What is read in this pass came no earlier than this. It is the pass's own poll where that had to wait,
+    // and else the one before: while the loop was busy bytes may have lain in the kernel.
+    virtual Nanos unseen_since() const = 0;
     // `address` is host:port, the host an IP address. Null and `error` where it can't be listened on.
     virtual std::unique_ptr<Listener> listen(const std::string& address,
                                              std::function<void(std::unique_ptr<Stream>)>,
--- a/src/platform/bus_door.cpp
+++ b/src/platform/bus_door.cpp
@@ -79,7 +79,10 @@
         line_at_ = now;
         failed_ = 0;
     }
-    timer_->arm(std::min(now + kSilent, line_at_ + kLongestLine));
+    // Not left to the timer: where bytes come in each pass of the loop, arming it again takes it back each
+    // time.
+    if (now - line_at_ >= kLongestLine) ask_later("no end of a line");
+    else timer_->arm(std::min(now + kSilent, line_at_ + kLongestLine));
     return in.size();
 }
 
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -62,10 +62,16 @@
 
 // ---------------------------------------------------------------- descriptors
 
-bool Front::room_for_host() {
-    if (!budget_.host_fits(owners_.size(), host_connections_) && !close_least_useful()) return false;
-    ++host_connections_;
-    return true;
+// A host that finds no descriptor waits in line, and nobody passes it: else hosts that are used all the time
+// would keep theirs for good, and the others would never be reached.
+bool Front::room_for_host(Host& h) {
+    const bool free = budget_.host_fits(owners_.size(), host_connections_);
+    if (!descriptor_queue_.others_first(h.number()) && (free || close_least_useful())) {
+        ++host_connections_;
+        return true;
+    }
+    if (!h.has_connection()) descriptor_queue_.join(h.number());
+    return false;
 }
 
 bool Front::room_for_owner() {
@@ -91,6 +97,42 @@
     return out != nullptr;
 }
 
+// Of the connections that have had their turn, the one that is up for the longest; `closable`: among those
+// that carry nothing.
+Connection* Front::oldest_past_its_turn(Nanos now, bool closable) {
+    Connection* out = nullptr;
+    for (Host* h : hosts_) {
+        Connection* c = h->oldest_up(now - kItsTurn);
+        if (!c || (closable ? !c->carries_nothing() : c->retired)) continue;
+        if (!out || c->up_since() < out->up_since()) out = c;
+    }
+    return out;
+}
+
+// Gives the hosts that wait for a descriptor their turn. A connection that is used all the time is never
+// idle; once its turn is over it carries nothing new, and is closed as soon as no attempt is on it. So a host
+// waits at most as many turns as there are hosts to each descriptor, and the time of an attempt.
+void Front::serve_descriptor_queue(Nanos now) {
+    while (!descriptor_queue_.empty()) {
+        Host& h = *hosts_[descriptor_queue_.front()];
+        if (h.gone() || h.has_connection()) {
+            descriptor_queue_.pop();
+            continue;
+        }
+        if (!budget_.host_fits(owners_.size(), host_connections_)) {
+            if (Connection* past = oldest_past_its_turn(now, true)) past->close();
+            else if (!close_least_useful()) break;
+        }
+        if (!h.connect()) break;
+        descriptor_queue_.pop();
+    }
+    for (std::size_t left = descriptor_queue_.size(); left > 0; --left) {
+        Connection* past = oldest_past_its_turn(now, false);
+        if (!past) break;
+        past->retired = true;
+    }
+}
+
 // ---------------------------------------------------------------- rounds and timers
 
 void Front::round_soon() {
@@ -129,6 +171,7 @@
     const Nanos now = loop_.now();
     owners_.look(now);
     for (Host* h : hosts_) h->look(now);
+    serve_descriptor_queue(now);
     while (!waiting_.empty() && now - waiting_.front().since > kEarly) waiting_.pop_front();
     std::erase_if(words_, [now](const Word& w) { return now - w.since > kWordKept; });
     if (closing_at_ && now >= closing_at_) wind_up(now);
@@ -249,7 +292,7 @@
     to.write(m);
 }
 
-void Front::set_up(Owner& from, const Message& m) {
+void Front::set_up(Owner& from, const Message& m, Nanos since) {
     SetUp s;
     const std::string_view wrong = read_set_up(m, group_names_, ledger_.groups(), largest_, s);
     if (!wrong.empty()) {
@@ -271,7 +314,10 @@
         return refuse(from, m.task, signalling::kError);
     }
     const Nanos now = loop_.now();
-    if (closing_at_ && now >= closing_at_) return refuse(from, m.task, signalling::kTryLater);
+    // Its client counts from when it wrote it. What lay in the kernel while the loop was busy has less left.
+    s.asked.time_left -= std::max<Nanos>(0, now - since);
+    if (s.asked.time_left <= 0 || (closing_at_ && now >= closing_at_))
+        return refuse(from, m.task, signalling::kTryLater);
     const std::uint64_t service = mark_of(s.service);
     ledger::Record& r = ledger_.take(now, s.name, service, s.asked);
     Task& t = make(m.task, r, &from, from.peer());
@@ -387,6 +433,11 @@
     }
 }
 
+void Front::owner_stuck() {
+    later_.push_back([this] { owners_.end_stuck(); });
+    round_soon();
+}
+
 void Front::tested() {
     if (!std::exchange(was_tested_, true)) log_(log::Level::info, "first_test", {{"passed", passes_tests()}});
 }
@@ -485,7 +536,8 @@
 }
 
 bool Front::may_write(Task& t) {
-    return t.record->out && ledger_.may_still_send(loop_.now(), *t.record->out);
+    return t.record->out && !(t.owner && t.owner->may_have_gone()) &&
+           ledger_.may_still_send(loop_.now(), *t.record->out);
 }
 
 void Front::launch_due(Task& t, Nanos) {
--- a/src/platform/front.h
+++ b/src/platform/front.h
@@ -14,6 +14,7 @@
 #include "net/net.h"
 #include "planner/planning.h"
 #include "platform/bus_door.h"
+#include "platform/descriptor_queue.h"
 #include "platform/descriptors.h"
 #include "platform/hosts.h"
 #include "platform/owners.h"
@@ -63,10 +64,10 @@
     void standing_ended(Task&, Ending, Reason, std::uint8_t cause, const Report&) override;
     void noted(Task&, std::string_view what, double figure) override;
     void reported(Host&, const Report&) override;
-    bool room_for_host() override;
+    bool room_for_host(Host&) override;
     void connection_ended() override { --host_connections_; }
 
-    void set_up(Owner&, const signalling::Message&) override;
+    void set_up(Owner&, const signalling::Message&, Nanos since) override;
     void released(Owner&, std::uint64_t task) override;
     bool passes_tests() override { return !closing_at_; }
     bool room_for_owner() override;
@@ -74,6 +75,7 @@
     void owner_came(Owner&) override;
     void owner_left(Owner&) override;
     void owner_ends(Owner&) override;
+    void owner_stuck() override;
 
     void told(const bus::Event&) override;
 
@@ -115,6 +117,8 @@
     void look();
     void wind_up(Nanos now);
     bool close_least_useful();
+    void serve_descriptor_queue(Nanos now);
+    Connection* oldest_past_its_turn(Nanos now, bool closable);
     void turn();
     void arm();
 
@@ -129,6 +133,7 @@
     planner::Planning* planner_ = nullptr;
     wheel::Wheel wheel_;
     const DescriptorBudget budget_;
+    DescriptorQueue descriptor_queue_;
     std::size_t host_connections_ = 0;
     Owners owners_;
     BusDoor bus_;
--- a/src/platform/hosts.cpp
+++ b/src/platform/hosts.cpp
@@ -148,7 +148,7 @@
 void Connection::connected() {
     up_ = true;
     timer_->disarm();
-    heard_ = used_ = host_.loop_.now();
+    heard_ = used_ = up_since_ = host_.loop_.now();
     host_.refused_ = 0;
     host_.heard_ = heard_;
     for (const std::uint64_t id : std::exchange(cuts_, {})) cut(id);
@@ -296,6 +296,11 @@
     return stream_->unread() || stream_->unsent() ? 0 : last;
 }
 
+bool Connection::carries_nothing() const {
+    return up_ && !broken_ && waiting_.empty() && launches_.empty() && cuts_.empty() && !stream_->unread() &&
+           stream_->unsent() == 0;
+}
+
 void Connection::close() {
     stream_.reset();
     broke(false);
@@ -387,12 +392,27 @@
     return out;
 }
 
+Connection* Host::oldest_up(Nanos before) const {
+    Connection* out = nullptr;
+    for (const auto& c : connections_)
+        if (c->up_since() && c->up_since() < before && (!out || c->up_since() < out->up_since()))
+            out = c.get();
+    return out;
+}
+
+bool Host::connect() {
+    Connection* c = current();
+    if (!c) c = dial();
+    if (c && std::exchange(test_due_, false)) c->test();
+    return c != nullptr;
+}
+
 Task* Host::stands_here(std::uint64_t id) const {
     const auto it = standing_.find(id);
     return it == standing_.end() ? nullptr : it->second;
 }
 
-Connection* Host::current() {
+Connection* Host::current() const {
     // One that was idle for long may be closed while a launch is on its way, which would leave that in doubt.
     Connection* least = nullptr;
     for (const auto& c : connections_)
@@ -403,7 +423,7 @@
 }
 
 Connection* Host::dial() {
-    if (hushed_ || !user_.room_for_host()) return nullptr;
+    if (hushed_ || !user_.room_for_host(*this)) return nullptr;
     connections_.push_back(std::make_unique<Connection>(*this, loop_, address_, dial_timeout_));
     return connections_.back().get();
 }
@@ -434,6 +454,7 @@
     if (!c && stage_ == Stage::gone) return;  // whoever asked finds that it does not answer
     if (!c) c = dial();
     if (c) c->test();
+    else test_due_ = true;
 }
 
 void Host::stands(Task& t) {
--- a/src/platform/hosts.h
+++ b/src/platform/hosts.h
@@ -20,6 +20,8 @@
 namespace whinpost::platform {
 
 // What becomes of what was sent to hosts.
+class Host;
+
 class HostUser {
 public:
     virtual ~HostUser() = default;
@@ -29,13 +31,11 @@
     virtual void standing_ended(Task&, Ending, Reason, std::uint8_t cause, const Report&) = 0;
     virtual void noted(Task&, std::string_view what, double figure) = 0;
     virtual void reported(Host&, const Report&) = 0;  // by a test
-    // A descriptor for one more connection, which is taken where true; and given back.
-    virtual bool room_for_host() = 0;
+    // A descriptor for one more connection to this host, which is taken where true; and given back.
+    virtual bool room_for_host(Host&) = 0;
     virtual void connection_ended() = 0;
 };
 
-class Host;
-
 class Connection final : public net::StreamUser {
 public:
     Connection(Host&, net::Loop&, const std::string& address, Nanos dial_timeout);
@@ -52,7 +52,12 @@
     void abandon();  // as if it had broken
     // Of no use since then, with nothing on its way either way that is known of; 0: it is of use.
     Nanos idle_since() const;
-    void close();  // after idle_since()
+    // Up since; 0 while it is still dialled.
+    Nanos up_since() const { return up_ ? up_since_ : 0; }
+    // No attempt is on it, and nothing lies unread or unsent: closing it loses at most the answer to a health
+    // check. Not to be asked from within one of its own calls.
+    bool carries_nothing() const;
+    void close();  // after idle_since() or carries_nothing()
     void flush();
 
     bool retired = false;  // nothing new leaves on it
@@ -74,7 +79,7 @@
     std::unique_ptr<net::Stream> stream_;
     std::unique_ptr<net::Timer> timer_;  // of the dial, then of half a message
     bool up_ = false, broken_ = false, test_due_ = false;
-    Nanos heard_ = 0, used_ = 0;
+    Nanos heard_ = 0, used_ = 0, up_since_ = 0;
     std::deque<Task*> waiting_;                          // not written yet
     std::unordered_map<std::uint64_t, Task*> launches_;  // written, no end yet; looked up, and walked in
                                                          // order of id only
@@ -108,13 +113,21 @@
     void take_down(Task&, bool cut);  // it stands no more, and is cut at the host
     // The connection that is of no use for the longest; null where there is none.
     Connection* least_useful();
+    // Whether there is a connection, up or dialled, that may carry something new.
+    bool has_connection() const { return current() != nullptr; }
+    // Of the connections up since before `before`, the oldest; null where there is none.
+    Connection* oldest_up(Nanos before) const;
+    // Dials where there is none that may carry something new; false where no descriptor was free. Tests that
+    // waited for it leave once it is up.
+    bool connect();
+    bool gone() const { return stage_ == Stage::gone; }
     bool holds_standing() const { return !standing_.empty(); }
     // From time to time: silent and idle connections, hosts that are gone for good.
     void look(Nanos now);
 
 private:
     friend class Connection;
-    Connection* current();  // the least loaded that may carry something new; null if there is none
+    Connection* current() const;  // the least loaded that may carry something new; null if there is none
     void cut(std::uint64_t id);
     Connection* dial();  // null: no descriptor
     void broke(Connection&, bool was_up, bool refused);
@@ -141,8 +154,8 @@
     std::deque<Over> said_over_;
     std::size_t most_ = 1;
     Nanos heard_ = 0;
-    bool hushed_ = false;
-    int refused_ = 0;  // dials in a row
+    bool hushed_ = false, test_due_ = false;  // test_due_: once there is a connection
+    int refused_ = 0;                         // dials in a row
     Nanos dial_again_ = 0;
     std::uint64_t next_test_;
 };
--- a/src/platform/owners.cpp
+++ b/src/platform/owners.cpp
@@ -23,15 +23,24 @@
 // What is unread puts off a close so long at most: one that never stops sending is shown out all the same.
 constexpr Nanos kUnreadFor = 500 * kMillisecond;
 constexpr int kTriesToShowOut = 8;
+// Connections that are accepted only to be told that there is no room; out of what the budget keeps back.
+constexpr std::size_t kMostTurnedAway = 8;
+// Bytes that lie unread may hold a client's last word once the loop has been away for so long. Half of the
+// 0.1 s after which an attempt for a client that has gone is too late.
+constexpr Nanos kLoopAway = 50 * kMillisecond;
 constexpr std::size_t kMostUnheard = 64;  // of one connection; each is heard within a round trip
 
 std::string host_of(const std::string& peer) { return peer.substr(0, peer.rfind(':')); }
 
 }  // namespace
 
-Owner::Owner(Owners& owners, std::unique_ptr<net::Stream> s)
+Owner::Owner(Owners& owners, std::unique_ptr<net::Stream> s, bool turned_away)
     : owners_(owners), stream_(std::move(s)), peer_(host_of(stream_->peer())), since_(owners.loop_.now()),
-      used_(since_) {}
+      used_(since_), accepted_at_(since_), unseen_at_accept_(owners.loop_.unseen_since()),
+      turned_away_(turned_away), ending_(turned_away) {
+    owners_.turned_away_ += turned_away_;
+}
+Owner::~Owner() { owners_.turned_away_ -= turned_away_; }
 
 // Guards against a close that crosses the release: whoever says of releases that they were heard, and has not
 // said it of this one before its connection went, has not heard it.
@@ -53,11 +62,27 @@
     told_ = true;
     used_ = owners_.loop_.now();
     if (stream_->unsent() <= kMostUnsent) return;
-    // It does not read. It is ended at the next look, not here: answers are given from within a round of the
-    // planner, and what else is owed on this connection is to be told to the planner, which bears that
+    // It does not read. It is ended after the next round, not here: answers are given from within a round of
+    // the planner, and what else is owed on this connection is to be told to the planner, which bears that
     // between its rounds only.
-    stuck_ = true;
+    if (std::exchange(stuck_, true)) return;
     stream_->read(false);
+    owners_.user_.owner_stuck();
+}
+
+void Owner::refuse(std::uint64_t id) {
+    Message m;
+    m.type = Type::release;
+    m.task = id;
+    m.cause = signalling::kTryLater;
+    write(m);
+}
+
+// Guards against attempts that begin after their client has closed or given up: its word of that may lie
+// behind more bytes than one read takes, or have come while the loop was busy.
+bool Owner::may_have_gone() const {
+    if (backlog_since_ || stream_->peer_closed()) return true;
+    return owners_.loop_.now() - owners_.loop_.polled_at() > kLoopAway && stream_->unread();
 }
 
 // Guards against a close over bytes of the peer that were not read yet: the kernel would reset the
@@ -65,6 +90,10 @@
 // closes.
 void Owner::end() {
     if (ended_) return;
+    if (reading_) {
+        ending_ = true;
+        return;
+    }
     owners_.user_.owner_ends(*this);
     ended_ = true;
     ended_at_ = owners_.loop_.now();
@@ -72,61 +101,78 @@
     owners_.leave(*this);
 }
 
+// All whole messages that were read are gone through, also after one that ends the connection: a request that
+// was read is answered, and be it by a refusal.
 std::size_t Owner::received(std::string_view in) {
     if (ended_) return in.size();
+    Nanos since = owners_.loop_.unseen_since();
+    if (!spoke_ && since <= accepted_at_) since = std::min(since, unseen_at_accept_);
+    if (backlog_since_) since = std::min(since, backlog_since_);
     bool spoilt = false;
-    const std::size_t done = signalling::messages(in, spoilt, [this](const Message& m) {
-        used_ = owners_.loop_.now();
-        if (!std::exchange(spoke_, true)) owners_.user_.owner_came(*this);
-        if (owners_.log_.says(log::Level::debug))
-            owners_.log_(log::Level::debug, "owner_says",
-                         {{"peer", stream_->peer()},
-                          {"type", static_cast<int>(m.type)},
-                          {"task", m.task},
-                          {"cause", m.cause ? static_cast<int>(*m.cause) : -1},
-                          {"class", m.group.value_or("-")},
-                          {"wait", m.wait.value_or("-")},
-                          {"name", m.name.value_or("-")},
-                          {"figures", m.figures.value_or("-")},
-                          {"description", m.description ? static_cast<int>(m.description->size()) : -1}});
-        switch (m.type) {
-            case Type::set_up:
-                owners_.user_.set_up(*this, m);
-                break;
-            case Type::release:
-                owners_.user_.released(*this, m.task);
-                break;
-            case Type::test: {
-                Message r;
-                r.type = Type::tested;
-                r.task = m.task;
-                r.cause = owners_.user_.passes_tests() ? signalling::kPassed : signalling::kFailed;
-                write(r);
-                owners_.user_.tested();
-                break;
-            }
-            case Type::release_heard:
-                owners_.hears_ = true;
-                std::erase_if(unheard_, [&m](const Unheard& u) { return u.id == m.task; });
-                break;
-            case Type::progress:
-                break;
-            default:  // a host's word: no owner has any business with it
-                end();
-        }
-        return !ended_ && !stuck_;
+    reading_ = true;
+    const std::size_t done = signalling::messages(in, spoilt, [this, since](const Message& m) {
+        heard(m, since);
+        return true;
     });
+    reading_ = false;
     if (spoilt) {
         owners_.log_(log::Level::debug, "owner_unreadable", {{"peer", peer_}});
         stream_->read(false);  // there may be no end of it
-        end();
+        ending_ = true;
     }
+    backlog_since_ = in.size() >= net::kReadAtOnce && stream_->unread() ? since : 0;
     half_since_ = done < in.size() ? (half_since_ ? half_since_ : owners_.loop_.now()) : 0;
+    if (ending_ && (spoilt || spoke_)) end();
     return ended_ ? in.size() : done;
 }
 
-void Owner::closed(net::Closed) {
+void Owner::heard(const Message& m, Nanos since) {
+    used_ = owners_.loop_.now();
+    if (!std::exchange(spoke_, true)) owners_.user_.owner_came(*this);
+    if (owners_.log_.says(log::Level::debug))
+        owners_.log_(log::Level::debug, "owner_says",
+                     {{"peer", stream_->peer()},
+                      {"type", static_cast<int>(m.type)},
+                      {"task", m.task},
+                      {"cause", m.cause ? static_cast<int>(*m.cause) : -1},
+                      {"class", m.group.value_or("-")},
+                      {"wait", m.wait.value_or("-")},
+                      {"name", m.name.value_or("-")},
+                      {"figures", m.figures.value_or("-")},
+                      {"description", m.description ? static_cast<int>(m.description->size()) : -1}});
+    switch (m.type) {
+        case Type::set_up:
+            if (ending_ || stuck_) refuse(m.task);
+            else owners_.user_.set_up(*this, m, since);
+            break;
+        case Type::release:
+            owners_.user_.released(*this, m.task);
+            break;
+        case Type::test: {
+            Message r;
+            r.type = Type::tested;
+            r.task = m.task;
+            r.cause = owners_.user_.passes_tests() ? signalling::kPassed : signalling::kFailed;
+            write(r);
+            owners_.user_.tested();
+            break;
+        }
+        case Type::release_heard:
+            owners_.hears_ = true;
+            std::erase_if(unheard_, [&m](const Unheard& u) { return u.id == m.task; });
+            break;
+        case Type::progress:
+            break;
+        default:  // a host's word: no owner has any business with it
+            end();
+    }
+}
+
+// A client that closes its side may still read, so what it is owed is answered. One that has closed both
+// never sees that.
+void Owner::closed(net::Closed why) {
     closed_ = true;
+    if (why == net::Closed::by_peer && !ended_) return end();
     stream_->abort();  // its descriptor is free from now on
     if (std::exchange(ended_, true)) return;
     owners_.leave(*this);
@@ -147,22 +193,44 @@
 // connection for good: by age alone the busy ones went first, and by use alone those with a container that
 // stands, whose end could then be told to nobody.
 void Owners::accept(std::unique_ptr<net::Stream> s) {
-    if (!user_.room_for_owner() && !show_out(loop_.now())) return s->abort();
-    Owner& o = *owners_.emplace_back(std::make_unique<Owner>(*this, std::move(s)));
+    const Nanos now = loop_.now();
+    const bool room = user_.room_for_owner() || show_out(now);
+    if (!room && !room_to_turn_away(now)) return s->abort();
+    Owner& o = *owners_.emplace_back(std::make_unique<Owner>(*this, std::move(s), !room));
     loop_.use(*o.stream_, o);
 }
 
+// Guards against a reset over a first request that was written with the connection: where all have something
+// open, a few more are accepted to be refused.
+bool Owners::room_to_turn_away(Nanos now) {
+    if (turned_away_ < kMostTurnedAway || drop_one_that_left(true)) return true;
+    const auto silent = std::find_if(owners_.begin(), owners_.end(), [now](const auto& o) {
+        return o->turned_away_ && !o->spoke_ && now - o->since_ >= kJustCame && !o->stream_->unread();
+    });
+    if (silent == owners_.end()) return false;
+    (*silent)->end();
+    std::erase_if(left_, [](const auto& o) { return o->turned_away_ && !o->spoke_; });
+    return true;
+}
+
+// One that lingers for its client to close, with nothing on its way that a close would destroy.
+bool Owners::drop_one_that_left(bool turned_away) {
+    const auto quiet = std::find_if(left_.begin(), left_.end(), [turned_away](const auto& o) {
+        return o->turned_away_ == turned_away && (o->closed_ || !o->stream_->unread()) && o->stream_->unsent() == 0;
+    });
+    if (quiet == left_.end()) return false;
+    left_.erase(quiet);
+    return true;
+}
+
 // Called by the listener alone, so that no connection that goes here is what is calling.
 bool Owners::show_out(Nanos now) {
-    if (!left_.empty()) {
-        left_.erase(left_.begin());
-        return true;
-    }
+    if (drop_one_that_left(false)) return true;
     std::vector<Owner*> kept;
     for (int i = 0; i < kTriesToShowOut; ++i) {
         Owner* out = nullptr;
         const auto may = [&kept](const Owner& o) {
-            return std::find(kept.begin(), kept.end(), &o) == kept.end();
+            return !o.turned_away_ && std::find(kept.begin(), kept.end(), &o) == kept.end();
         };
         for (const auto& o : owners_)
             if (!o->spoke_ && now - o->since_ >= kJustCame && may(*o) && (!out || o->since_ < out->since_))
@@ -210,11 +278,20 @@
         const Nanos late =
             std::max(!o->told_ && !o->open_ && !o->standing_ ? now - o->since_ - kFirstWord : 0,
                      o->half_since_ ? now - o->half_since_ - kHalfMessage : 0);
-        if (o->stuck_ || (late > 0 && (late > kUnreadFor || !o->stream_->unread()))) out.push_back(o.get());
+        const bool turned_away_long = o->turned_away_ && now - o->since_ > kLinger;
+        if (turned_away_long || (late > 0 && (late > kUnreadFor || !o->stream_->unread())))
+            out.push_back(o.get());
     }
     for (Owner* o : out) o->end();
 }
 
+void Owners::end_stuck() {
+    std::vector<Owner*> out;
+    for (const auto& o : owners_)
+        if (o->stuck_) out.push_back(o.get());
+    for (Owner* o : out) o->end();
+}
+
 bool Owners::drain(Nanos now, Nanos by) {
     if (listener_) {
         listener_->accept_waiting();
@@ -225,7 +302,7 @@
         if (!o->open_ && !o->stream_->unread()) out.push_back(o.get());
     for (Owner* o : out) o->end();
     look(now);
-    return now >= by || size() == 0;
+    return now >= by || (owners_.empty() && left_.empty());
 }
 
 }  // namespace whinpost::platform
--- a/src/platform/owners.h
+++ b/src/platform/owners.h
@@ -17,7 +17,11 @@
 // One connection of an owner, or of the front that tests the placer.
 class Owner final : public net::StreamUser {
 public:
-    Owner(Owners&, std::unique_ptr<net::Stream>);
+    // `turned_away`: there is no room for it; it is only to hear so.
+    Owner(Owners&, std::unique_ptr<net::Stream>, bool turned_away);
+    ~Owner() override;
+    Owner(const Owner&) = delete;
+    Owner& operator=(const Owner&) = delete;
     void write(const signalling::Message&);
     // The end of a container that stood; kept until it is heard.
     void release(std::uint64_t id, std::uint8_t cause);
@@ -29,20 +33,30 @@
     // Releases that did not reach it: to be asked once it has left.
     const std::vector<Unheard>& unheard() const { return unheard_; }
     // What is owed on it is answered first, by the user; then it closes, and what was written still leaves.
+    // From within received() this waits until all that was read is answered.
     void end();
+    // Whether it may have closed, or have given up what it asked for, with the word of that still unread.
+    bool may_have_gone() const;
     const std::string& peer() const { return peer_; }
 
 private:
     friend class Owners;
     std::size_t received(std::string_view) override;
     void closed(net::Closed) override;
+    void heard(const signalling::Message&, Nanos since);
+    void refuse(std::uint64_t id);
 
     Owners& owners_;
     std::unique_ptr<net::Stream> stream_;
     std::string peer_;
     Nanos since_, used_, half_since_ = 0;
+    const Nanos accepted_at_, unseen_at_accept_;
+    Nanos backlog_since_ = 0;  // more lies unread than one read takes, since then
+    const bool turned_away_;
     bool spoke_ = false, told_ = false;  // told_: something was ever said to it
     bool stuck_ = false;                 // it reads nothing
+    bool reading_ = false;               // within received()
+    bool ending_ = false;                // takes nothing more, and ends once what was read is answered
     bool ended_ = false;                 // what is owed on it is answered
     bool closed_ = false;                // by the peer
     Nanos ended_at_ = 0;
@@ -54,13 +68,15 @@
 class OwnerUser {
 public:
     virtual ~OwnerUser() = default;
-    virtual void set_up(Owner&, const signalling::Message&) = 0;
+    // `since`: it came no earlier than that, and may have lain unread since then.
+    virtual void set_up(Owner&, const signalling::Message&, Nanos since) = 0;
     virtual void released(Owner&, std::uint64_t task) = 0;  // given up, or no longer wanted
     virtual bool passes_tests() = 0;
     virtual bool room_for_owner() = 0;  // a descriptor for one more
     virtual void tested() = 0;
     virtual void owner_came(Owner&) = 0;  // its first whole message is about to be told
     virtual void owner_left(Owner&) = 0;  // to be forgotten
+    virtual void owner_stuck() = 0;       // end_stuck() is to be called soon, not from here
     virtual void owner_ends(Owner&) = 0;  // we close it: what is owed on it is to be answered now
 };
 
@@ -69,7 +85,10 @@
     Owners(net::Loop&, const log::Log&, OwnerUser&);
     std::string listen(const std::string& address);  // empty, or what is wrong
     void look(Nanos now);
-    std::size_t size() const { return owners_.size() + left_.size(); }
+    // Without those that are turned away, which come out of what is kept back.
+    std::size_t size() const { return owners_.size() + left_.size() - turned_away_; }
+    // Ends the connections whose clients read nothing. Between two rounds of the planner only.
+    void end_stuck();
     // Takes no new connection and half-closes those on which nothing is open or unread. True once all are
     // closed on both sides, or `by` has come.
     bool drain(Nanos now, Nanos by);
@@ -84,12 +103,15 @@
     friend class Owner;
     void accept(std::unique_ptr<net::Stream>);
     bool show_out(Nanos now);
+    bool drop_one_that_left(bool turned_away);
+    bool room_to_turn_away(Nanos now);
     void leave(Owner&);
 
     net::Loop& loop_;
     const log::Log& log_;
     OwnerUser& user_;
     std::unique_ptr<net::Listener> listener_;
+    std::size_t turned_away_ = 0;
     bool hears_ = false;  // owners here say that they have heard releases
     std::vector<std::unique_ptr<Owner>> owners_, left_;
 };
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -8,6 +8,8 @@
 #include <set>
 #include <vector>
 
+#include "whinpost/mark.h"
+
 using namespace whinpost;
 using ledger::Answer;
 using ledger::Refusal;
@@ -45,6 +47,16 @@
         if (p == Place::cell) return a.listed.cell == b.listed.cell;
         return p == Place::machine && &a == &b;
     }
+    // Dealt one by one: the k-th of the half goes to the placer whose place in the circle it falls to.
+    int tokens(const ledger::Node& n, Nanos now, Nanos turn) const {
+        if (now - turn * cold.window < std::min(50 * kMillisecond, cold.window / 8)) return 0;
+        const int half = static_cast<int>(cold.always_borne / 2);
+        const auto offset = static_cast<Nanos>(mark_of(n.name) % 1'000'003);
+        const Nanos mine = (cold.me + turn + offset) % cold.placers;
+        int out = 0;
+        for (int k = 1; k <= half; ++k) out += (k * cold.placers + half - 1) / half - 1 == mine;
+        return out;
+    }
     bool may_launch(Nanos now, const PlainContainer& c, const ledger::Node& n, bool listed,
                     bool drains) const {
         if (c.answer || now >= c.until || static_cast<int>(c.launches.size()) >= most) return false;
@@ -69,11 +81,11 @@
             if (there >= c.group->most) return false;
         }
         if (n.listed.started > 0 && now - n.listed.started < cold.warm_after) {
-            int lately = 0;
+            const Nanos turn = now / cold.window;
+            int in_turn = 0;
             if (const auto it = young.find(&n); it != young.end())
-                for (const Nanos at : it->second) lately += now - at < cold.window;
-            const int half = static_cast<int>(cold.always_borne / 2);
-            if (lately >= 2 * ((half + cold.placers - 1) / cold.placers)) return false;
+                for (const Nanos at : it->second) in_turn += at / cold.window == turn;
+            if (in_turn >= tokens(n, now, turn)) return false;
         }
         return true;
     }
--- a/tests/platform_sockets_rig.h
+++ b/tests/platform_sockets_rig.h
@@ -2,7 +2,6 @@
 // turns only where the test says so: what is written between two turns has come, all of it, before the next.
 #pragma once
 #include <arpa/inet.h>
-#include <event2/event.h>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -94,6 +93,9 @@
     void close() {
         if (fd_ >= 0) ::close(std::exchange(fd_, -1));
     }
+    void half_close() { ::shutdown(fd_, SHUT_WR); }
+    // Room for so many bytes that nobody reads yet.
+    void room(int bytes) { setsockopt(fd_, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes); }
     void break_off() {
         const linger at_once{1, 0};
         setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
@@ -185,7 +187,7 @@
         return out;
     }
 
-    void turn() { event_base_loop(loop.base(), EVLOOP_NONBLOCK); }
+    void turn() { loop.pass(false); }
     void turns(int n) {
         while (n-- > 0) turn();
     }
--- a/tests/platform_sockets_test.cpp
+++ b/tests/platform_sockets_test.cpp
@@ -204,6 +204,144 @@
     CHECK(!o.ended);
 }
 
+// ---------------------------------------------------------------- every request that was read is answered
+
+TEST_CASE("requests read together with what ends their connection are answered, each of them") {
+    SocketRig t;
+    Plug o = t.owner();
+    Message stray;  // what only hosts say
+    stray.type = Type::answer;
+    stray.task = 5;
+    stray.description = "stands";
+    std::string ends;
+    const int how = GENERATE(0, 1, 2);
+    if (how == 0) signalling::append(ends, stray);
+    if (how == 1) ends = SocketRig::set_up(7);  // open already
+    if (how == 2) ends = "";
+    std::string after = how == 2 ? "GET / HTTP/1.1\r\n\r\n" : SocketRig::set_up(9) + SocketRig::set_up(10);
+    o.raw(SocketRig::set_up(7) + SocketRig::set_up(8) + ends + after);
+    t.until([&] {
+        o.take();
+        return o.ended || o.reset;
+    });
+    CHECK(!o.reset);
+    CHECK(o.count(Type::release, 7) == 1);
+    CHECK(o.count(Type::release, 8) == 1);
+    CHECK(o.count(Type::release, 9) == (how == 2 ? 0 : 1));
+    CHECK(o.count(Type::release, 10) == (how == 2 ? 0 : 1));
+    CHECK(t.front->tasks() == 0);
+}
+
+TEST_CASE("a client that closes its side only is answered, and nothing more is sent on for it") {
+    SocketRig t;
+    Ear host;
+    t.known({SocketRig::entry("h", host.address())}, true);
+    Plug o = t.owner();
+    o.raw(SocketRig::set_up(7));
+    t.until([&] { return t.planner.taken.size() == 1; });
+    o.half_close();
+    t.until([&] {
+        o.take();
+        return o.count(Type::release, 7) == 1;
+    });
+    t.front->bind(t.planner.taken[0], 0, kSecond);
+    t.turns(20);
+    host.take();
+    CHECK(host.count(Type::set_up, 7) == 0);
+    CHECK(t.front->tasks() == 0);
+}
+
+TEST_CASE("where all have something open, a new client is refused, not reset") {
+    SocketRig t(64);
+    std::vector<Plug> owners;
+    for (std::uint64_t i = 0; i < 30; ++i) {  // all that there is room for
+        owners.push_back(t.owner());
+        owners.back().raw(SocketRig::set_up(100 + i));
+        t.until([&] { return t.planner.taken.size() == i + 1; });
+    }
+    for (std::uint64_t id = 7; id < 27; ++id) {
+        Plug more = t.owner();
+        if (id % 2) t.turns(3);  // the request comes with the connection, or after it
+        more.raw(SocketRig::set_up(id) + SocketRig::set_up(id + 1000));
+        t.until([&] {
+            more.take();
+            return more.ended || more.reset;
+        });
+        CHECK(!more.reset);
+        CHECK(more.count(Type::release, id) == 1);
+        CHECK(more.count(Type::release, id + 1000) == 1);
+    }
+    CHECK(t.planner.taken.size() == 30);
+    for (Plug& o : owners) {
+        o.take();
+        CHECK(o.got.empty());
+        CHECK(!o.ended);
+    }
+}
+
+// ---------------------------------------------------------------- what lay unread
+
+TEST_CASE("nothing is sent on for a client whose close or cancel lies unread") {
+    SocketRig t;
+    Ear host;
+    t.known({SocketRig::entry("h", host.address())}, true);
+    t.front->probe(0);  // so that a connection is up
+    t.until([&] { return t.front->connections() == 1 && (host.take(), host.bytes() > 0); });
+    Plug o = t.owner();
+    const int how = GENERATE(0, 1, 2);
+    constexpr int kFlood = 160 << 10;  // over twice what is read at once
+    o.room(kFlood);
+    std::string bytes = SocketRig::set_up(7);
+    if (how < 2) {  // behind more than one read takes: its cancel, or its close
+        Message m;
+        m.type = Type::progress;
+        m.task = 7;
+        while (bytes.size() < kFlood) signalling::append(bytes, m);
+    }
+    o.raw(bytes);
+    if (how == 0) o.plain(Type::release, 7, signalling::kGivenUp);
+    if (how == 1) o.close();
+    t.until([&] { return t.planner.taken.size() == 1; });
+    // In one pass of the loop: the loop is busy, the client gives up meanwhile, the planner decides.
+    auto busy = t.loop.timer([&] {
+        if (how == 2) {
+            o.plain(Type::release, 7, signalling::kGivenUp);
+            t.stand_still(80 * kMillisecond);
+        }
+        t.front->bind(t.planner.taken[0], 0, 10 * kSecond);
+    });
+    busy->arm(t.loop.now());
+    t.until([&] { return t.front->tasks() == 0; });
+    t.turns(20);
+    host.take();
+    CHECK(host.count(Type::set_up, 7) == 0);
+}
+
+TEST_CASE("the wait passed on leaves out the time for which a request lay unread") {
+    SocketRig t;
+    Ear host;
+    t.known({SocketRig::entry("h", host.address())}, true);
+    constexpr int kWait = 30'000, kAway = 400;  // milliseconds
+    const bool new_connection = GENERATE(false, true);
+    Plug o;
+    if (!new_connection) {
+        o = t.owner();
+        t.until([&] { return t.front->connections() == 1; });
+    }
+    t.turns(2);
+    if (new_connection) o = t.owner();
+    o.raw(SocketRig::set_up(7, "free", "", kWait));
+    t.stand_still(kAway * kMillisecond);
+    t.turns(1);  // a new connection is accepted in one pass and read in the next
+    t.until([&] { return t.planner.taken.size() == 1; });
+    t.front->bind(t.planner.taken[0], 0, kWait * kMillisecond);
+    t.until([&] {
+        host.take();
+        return host.count(Type::set_up, 7) == 1;
+    });
+    CHECK(std::stoi(host.lines.back()->all(Type::set_up)[0].wait) <= kWait - kAway);
+}
+
 // ---------------------------------------------------------------- connections of owners
 
 TEST_CASE(
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,6 +1,8 @@
 // The platform's front: what goes wrong between a placer and its owners, hosts and event bus, each caused on
 // purpose, in virtual time.
 #include <catch2/catch.hpp>
+#include <random>
+#include <utility>
 
 #include "platform_rig.h"
 #include "quiet_planner.h"
@@ -598,3 +600,156 @@
     CHECK(ended);
     CHECK(t.o.all(Type::answer).size() == 2);
 }
+
+TEST_CASE("more hosts than descriptors, all in use all the time: each host is reached again and again") {
+    constexpr std::size_t kHosts = 60;
+    PlatformRig t(64);                           // 40 of them for connections
+    const bool answers = GENERATE(true, false);  // whether hosts answer health checks
+    std::vector<PlatformRig::HostAt*> hosts;
+    std::vector<std::string> entries;
+    for (std::size_t i = 0; i < kHosts; ++i) {
+        hosts.push_back(&t.host("h" + std::to_string(100 + i)));
+        entries.push_back(PlatformRig::entry(*hosts.back()));
+    }
+    t.start();
+    t.tell(entries, true);
+    std::vector<std::size_t> checked(kHosts);  // health checks that came to each host
+    const auto answer_checks = [&] {
+        for (std::size_t i = 0; i < kHosts; ++i)
+            for (const auto& c : hosts[i]->conns)
+                for (const Line::Got& g : std::exchange(c->got, {})) {
+                    if (g.type != Type::test) continue;
+                    ++checked[i];
+                    Message m;
+                    m.type = Type::tested;
+                    m.task = g.task;
+                    m.cause = signalling::kPassed;
+                    if (answers) c->say(m);
+                }
+    };
+    for (int part = 0; part < 3; ++part) {
+        const std::vector<std::size_t> before = checked;
+        // Each connection is used again long before it counts as idle.
+        for (const Nanos end = t.world.now() + 4 * kSecond; t.world.now() < end;) {
+            for (planner::NodeNumber n = 0; n < kHosts; ++n) t.front.probe(n);
+            t.run(5 * kMillisecond);
+            CHECK(t.front.connections() <= 40);
+            answer_checks();
+        }
+        for (std::size_t i = 0; i < kHosts; ++i) {
+            INFO("part " << part << ", host " << i);
+            CHECK(checked[i] > before[i]);
+        }
+    }
+}
+
+TEST_CASE("a client that reads nothing and has something open is answered in the pass that shows it") {
+    One t;
+    Line& deaf = t.owner(2);
+    t.ask(deaf, 7);
+    REQUIRE(t.h.launches().size() == 1);
+    deaf.stream->read(false);
+    std::string flood;
+    for (std::uint64_t k = 0; k < 60'000; ++k) {
+        Message m;
+        m.type = Type::test;
+        m.task = k;
+        m.cause = 0;
+        signalling::append(flood, m);
+    }
+    deaf.raw(flood);
+    // No sweep, which comes every 100 ms, is needed for it.
+    for (int i = 0; i < 90 && t.front.tasks(); ++i) t.run(kMillisecond);
+    CHECK(t.front.tasks() == 0);
+    CHECK(t.h.count(Type::release, 7) == 1);  // given up
+}
+
+TEST_CASE("whatever hosts and other clients do, each request has one final answer, and that in time") {
+    const auto seed = GENERATE(take(12, random(1u, 1u << 30)));
+    std::ranlux24_base chance(seed);
+    const auto roll = [&chance](unsigned n) { return static_cast<unsigned>(chance() % n); };
+    PlatformRig t(64);
+    std::vector<PlatformRig::HostAt*> hosts;
+    std::vector<std::string> entries;
+    for (int i = 0; i < 6; ++i) {
+        hosts.push_back(&t.host("h" + std::to_string(i)));
+        entries.push_back(PlatformRig::entry(*hosts.back()));
+    }
+    t.start();
+    t.tell(entries, true);
+    struct Asked {
+        Line* client;
+        std::uint64_t id;
+        Nanos until;
+    };
+    std::vector<Line*> good;
+    for (int i = 0; i < 5; ++i) good.push_back(&t.owner(10 + i));
+    std::vector<Asked> asked;
+    std::uint64_t next = 1;
+    for (int step = 0; step < 300; ++step) {
+        Line& client = *good[roll(5)];
+        const int wait = 300 + static_cast<int>(roll(1500));
+        const char* const groups[] = {"free", "marked", "once"};
+        if (!client.over && roll(2)) {
+            client.raw(set_up_bytes(next, groups[roll(3)], wait, ""));
+            asked.push_back({&client, next++, t.world.now() + wait * kMillisecond});
+        }
+        for (PlatformRig::HostAt* h : hosts)
+            for (const auto& c : h->conns)
+                for (const Line::Got& g : std::exchange(c->got, {})) {
+                    if (g.type != Type::set_up) continue;
+                    switch (roll(8)) {  // else silent for good
+                        case 0:
+                            c->answer(g.task);
+                            break;
+                        case 1:
+                            c->release(g.task, signalling::kFull, "queue_full");
+                            break;
+                        case 2:
+                            c->release(g.task, signalling::kError);
+                            break;
+                        case 3:
+                            c->raw("noise that is no message");
+                            break;
+                        case 4:
+                            c->stream.reset();
+                            break;
+                        case 5:
+                            c->answer(g.task);
+                            c->release(g.task, signalling::kOk);
+                            break;
+                        default:
+                            break;
+                    }
+                }
+        if (roll(10) == 0) {  // another client's trouble
+            Line& bad = t.owner(100 + static_cast<int>(roll(50)));
+            switch (roll(4)) {
+                case 0:
+                    bad.raw("GET / HTTP/1.1\r\n\r\n");
+                    break;
+                case 1:
+                    bad.raw(set_up_bytes(next - 1, "free", 500, ""));
+                    break;  // an id of another's
+                case 2:
+                    bad.release(next - 1, signalling::kGivenUp);
+                    break;
+                default:
+                    break;  // silent
+            }
+        }
+        if (roll(40) == 0) t.tell({host_entry(hosts[roll(6)]->name, hosts[roll(6)]->address, "leaving")});
+        if (roll(30) == 0) t.tell(entries, true);
+        t.run(20 * kMillisecond);
+    }
+    t.run(3 * kSecond);
+    for (const Asked& a : asked) {
+        INFO("seed " << seed << ", request " << a.id);
+        REQUIRE(!a.client->over);
+        const std::size_t stands = a.client->count(Type::answer, a.id);
+        const std::size_t over = a.client->count(Type::release, a.id);
+        CHECK(stands <= 1);
+        CHECK(over <= 1);
+        CHECK(stands + over >= 1);
+    }
+}
