Control work follows what changes: a kept hash ring, no look twice at a full large fleet

At fault: list_done built and sorted 32 points for each machine anew; pick's wider look searched all it had seen for each machine (n squared) for each container in each round; choose_working ran after each word of the list and asked tallies that never counted anything.

Change: HashRing (include/whinpost/hash_ring.h) keeps the points, equal to a sorted ring; list_done walks what has changed; a mark in place of the search; tallies that are empty say so. Above 2,000 machines the working set is chosen four times a second at most, and a container of a size that fitted nowhere is not looked up again for a quarter second. Up to that size decisions are as before.

--- a/include/whinpost/placer.h
+++ b/include/whinpost/placer.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "whinpost/hash_ring.h"
 #include "whinpost/ring.h"
 
 namespace whinpost {
@@ -134,9 +135,12 @@
     std::uint64_t mark;  // says only that it is the same one, alike at every placer
     Listed listed;
     const MachineKind* size = nullptr;
-    bool known = false;       // in a list of this placer
-    int named_in = 0;         // the latest list that named it
-    Nanos blocked_until = 0;  // it said that it would take nothing
+    bool known = false;         // in a list of this placer
+    bool on_ring = false;       // the ring's own
+    bool changed = false;       // in changed_
+    std::uint64_t seen_in = 0;  // the latest choice that considered it
+    int named_in = 0;           // the latest list that named it
+    Nanos blocked_until = 0;    // it said that it would take nothing
     double refused_cores = 0, refused_memory = 0;
     Nanos refused_until = 0;
     std::vector<Neighbour> neighbours;
@@ -271,6 +275,7 @@
     };
     Load load(Nanos now, Machine&, const Asked& more) const;
     Machine* pick(Nanos now, Container&, bool under_bound);
+    bool fits_nowhere(Nanos now, const Container&) const;
     Nanos time_out(Nanos now, const Container&) const;
     void wake_by(Nanos now, Nanos at);
     int in_place(const Container&, const Machine&, Place) const;
@@ -292,9 +297,15 @@
     std::list<Service> services_;
     std::list<std::unique_ptr<Container>> containers_;
     std::list<Container*> queue_;
-    std::vector<std::pair<std::uint64_t, Machine*>> circle_;  // points of the serving machines, in order
-    bool stale_ = false;  // the circle, after a list that changed who serves
-    int lists_ = 1;       // told so far
+    HashRing<Machine> ring_;         // the serving machines
+    std::vector<Machine*> changed_;  // entries since the last list_done that changed who is there or serves
+    std::uint64_t looks_ = 0;        // choices made
+    struct NoRoom {
+        double cores = 0, memory = 0;
+        Nanos until = 0;
+    };
+    std::vector<NoRoom> no_room_;  // by queue group: asks from this size on fit nowhere, until then
+    int lists_ = 1;                // told so far
     double mean_value_;
     double use_cores_ = 0, use_memory_ = 0, ask_cores_ = 0,
            ask_memory_ = 0;            // fading sums behind the use ratios
--- a/include/whinpost/ring.h
+++ b/include/whinpost/ring.h
@@ -12,18 +12,23 @@
 
     void add(std::int64_t now, double amount) {
         turn(now);
+        any_ = true;
         at_[slot(epoch_)] += amount;
     }
 
     // Everything counted in the buckets that still stand at `now`, or in the newest `buckets` of them.
     double sum(std::int64_t now, int buckets = Buckets) {
+        if (!any_) return 0;
         turn(now);
         double total = 0;
         for (int back = 0; back < buckets && back < Buckets; ++back) total += at_[slot(epoch_ - back)];
         return total;
     }
 
-    void clear() { at_.fill(0); }
+    void clear() {
+        at_.fill(0);
+        any_ = false;
+    }
 
 private:
     static std::size_t slot(std::int64_t epoch) {
@@ -31,7 +36,7 @@
     }
     void turn(std::int64_t now) {
         const std::int64_t epoch = now / width_;
-        if (epoch - epoch_ >= Buckets) at_.fill(0);
+        if (epoch - epoch_ >= Buckets) clear();
         else
             while (epoch_ < epoch) at_[slot(++epoch_)] = 0;
         if (epoch > epoch_) epoch_ = epoch;
@@ -39,6 +44,7 @@
 
     std::int64_t width_;
     std::int64_t epoch_ = 0;
+    bool any_ = false;  // something was counted since all buckets were empty
     std::array<double, Buckets> at_{};
 };
 
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -59,6 +59,7 @@
       zone_(zone), groups_(std::move(groups)), kinds_(std::move(kinds)), accepts_(accepts), cold_(cold),
       list_(list), launch_(launch), prices_(prices), calm_(1), mean_value_(kStartingPair), answer_s_(0.1) {
     usual_start_.resize(2 * groups_.size());
+    no_room_.resize(groups_.size());
     for (std::size_t k = 0; k < kinds_.size(); ++k) {
         steepest_.push_back(&groups_[0]);
         bool any = false;
@@ -98,29 +99,42 @@
         m.blocked_until = 0;
         for (Neighbour& n : m.neighbours) n.last_ran = 0;
     }
-    stale_ = stale_ || !m.known || m.listed.stage != entry.stage;
+    if ((!m.known || m.listed.stage != entry.stage) && !std::exchange(m.changed, true))
+        changed_.push_back(&m);
     m.known = true;
     m.listed = entry;
     m.size = &kinds_[static_cast<std::size_t>(entry.kind)];
 }
 
+// Departure (large fleets): above this size what costs a step for each machine is done four times a second at
+// most, not after each word of the list or for each container: the working set, and the look that finds that
+// a container fits nowhere. Guards against control work that grows with fleet times load. A machine that
+// comes free may be seen a quarter of a second late.
+constexpr std::size_t kLargeFleet = 2000;
+
+// Costs by what has changed, except where a whole list was told: a zone that is lost machine by machine would
+// else stop the placer for as long as it has machines.
 void Placer::list_done(Nanos now, bool whole) {
-    for (Machine* m : fleet_) {
-        if (whole && m->named_in != lists_) m->listed.stage = Stage::gone;
-        if (m->listed.stage == Stage::gone) m->known = false;
-        stale_ = stale_ || !m->known;
-    }
+    for (Machine* m : fleet_)
+        if (whole && m->named_in != lists_ && m->listed.stage != Stage::gone) {
+            m->listed.stage = Stage::gone;
+            if (!std::exchange(m->changed, true)) changed_.push_back(m);
+        }
     ++lists_;
-    if (std::exchange(stale_, false)) {
-        std::erase_if(fleet_, [](Machine* m) { return !m->known; });
-        circle_.clear();
-        for (Machine* m : fleet_)
-            for (std::uint64_t i = 0; i < kPoints && m->listed.stage == Stage::serving; ++i)
-                circle_.emplace_back(mixed(m->mark, i), m);
-        std::sort(circle_.begin(), circle_.end(), [](auto& a, auto& b) { return a.first < b.first; });
+    std::vector<Machine*> joined;
+    std::size_t left = 0;
+    for (Machine* m : std::exchange(changed_, {})) {
+        m->changed = false;
+        if (m->listed.stage == Stage::gone) left += std::exchange(m->known, false);
+        if (m->listed.stage != Stage::serving) ring_.erase(m);
+        else if (!m->on_ring) joined.push_back(m);
     }
+    if (left) std::erase_if(fleet_, [](Machine* m) { return !m->known; });
+    ring_.insert(joined, [](const Machine& m, auto add) {
+        for (std::uint64_t i = 0; i < kPoints; ++i) add(mixed(m.mark, i));
+    });
     retry_gap_ = retry_list_ = 0;
-    next_working_ = now;
+    if (fleet_.size() <= kLargeFleet) next_working_ = now;
 }
 
 // A call for the list that failed, or a watch that broke, is made again after a pause that doubles: no storm
@@ -682,13 +696,20 @@
 constexpr double kOpening = 4;                 // times the price of machines in use; twelve did no more
 constexpr std::uint64_t kDraws = 8 * kSample;  // to find so many with room; past it the fleet is full
 
+bool Placer::fits_nowhere(Nanos now, const Container& c) const {
+    const NoRoom& none = no_room_[static_cast<std::size_t>(c.asked.group)];
+    return now < none.until && c.asked.cores >= none.cores && c.asked.memory >= none.memory;
+}
+
 Machine* Placer::pick(Nanos now, Container& c, bool under_bound) {
+    if (fits_nowhere(now, c)) return nullptr;
     Machine* best = nullptr;
     double best_sum = 0;
-    std::vector<Machine*> seen;
+    std::size_t seen = 0;
+    ++looks_;
     const auto consider = [&](Machine* m, double cold) {
-        if (std::find(seen.begin(), seen.end(), m) != seen.end()) return false;
-        seen.push_back(m);
+        if (std::exchange(m->seen_in, looks_) == looks_) return false;
+        ++seen;
         if ((under_bound && !m->working) || !may_bind(now, c, *m) || !has_room(now, c, *m)) return false;
         double start = 0;
         double sum = slow_down(now, c, *m, under_bound && !accepts_.notes_pressure ? kWary : 1, start);
@@ -704,14 +725,16 @@
     for (Machine* m : c.service->at)
         if (warm(now, *m, c.service)) consider(m, 1);
     const double unknown = std::pow(1 - 1.0 / cold_.placers, kTogether);  // one there, and none of them ours
-    std::size_t drawn = circle_.empty() ? kSample : 0;
-    for (std::uint64_t i = 0; i < kDraws && drawn < kSample && seen.size() < fleet_.size(); ++i) {
-        const auto at = std::lower_bound(circle_.begin(), circle_.end(), mixed(c.service->mark, i),
-                                         [](auto& point, std::uint64_t x) { return point.first < x; });
-        drawn += consider((at == circle_.end() ? circle_.front() : *at).second, 1 - kWarm[drawn] * unknown);
-    }
+    std::size_t drawn = ring_.empty() ? kSample : 0;
+    for (std::uint64_t i = 0; i < kDraws && drawn < kSample && seen < fleet_.size(); ++i)
+        drawn += consider(ring_.at(mixed(c.service->mark, i)), 1 - kWarm[drawn] * unknown);
     if (!best && !under_bound)  // nothing in the sample: a wider look
         for (Machine* m : fleet_) consider(m, 1);
+    // Said of all only by one that any machine might have taken.
+    if (!best && !under_bound && fleet_.size() > kLargeFleet && c.turned_down.empty() && !c.first_maybe &&
+        c.group->spread == Place::none)
+        no_room_[static_cast<std::size_t>(c.asked.group)] = {c.asked.cores, c.asked.memory,
+                                                             now + kWorkingEvery};
     return best;
 }
 
