--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -209,6 +209,7 @@
         named.push_back(entry.host);
         Known& k = known_[entry.host];
         const Nanos started = k.listed.started;
+        const bool was_there = k.there();
         if (entry.address) k.address = *entry.address;
         if (entry.zone) k.listed.zone = *entry.zone;
         if (entry.kind) k.listed.kind = *entry.kind;
@@ -224,8 +225,10 @@
             k.host = std::make_unique<Host>(entry.host, static_cast<std::uint32_t>(hosts_.size()), loop_,
                                             log_, user, dial_timeout_, idle_, seed_);
             hosts_.push_back(k.host.get());
+            k.host->most_connections(connections_to_one_);
             k.node = &ledger_.meet(entry.host);
         }
+        hosts_there_ = hosts_there_ + k.there() - was_there;
         k.host->listed(k.address, k.listed.stage);
         ledger_.listed(now, *k.node, k.listed);
         planner_->node(now, k.host->number(), mark_of(entry.host), k.listed);
@@ -239,15 +242,12 @@
             if (k.host && k.listed.stage != Stage::gone &&
                 !std::binary_search(named.begin(), named.end(), std::string_view(name))) {
                 k.listed.stage = Stage::gone;
+                --hosts_there_;
                 k.host->listed(k.address, Stage::gone);
                 ledger_.gone(now, *k.node);
             }
     }
-    std::size_t there = 0;
-    for (const auto& [name, k] : known_) there += k.host && k.listed.stage != Stage::gone;
-    const std::size_t each =
-        std::clamp<std::size_t>(budget_.for_hosts() / std::max<std::size_t>(there, 1), 1, kMostToOne);
-    for (Host* h : hosts_) h->most_connections(each);
+    share_connections();
     planner_->list_done(now, e.whole);
     if (!std::exchange(begun_, true)) planner_->begin(now);
     for (std::size_t left = waiting_.size(); left > 0; --left) {
@@ -258,6 +258,14 @@
     round_soon();
 }
 
+// Costs a walk over all hosts only where their number changes each one's part, not for each event.
+void Front::share_connections() {
+    const std::size_t hosts = std::max<std::size_t>(hosts_there_, 1);
+    const std::size_t each = std::clamp<std::size_t>(budget_.for_hosts() / hosts, 1, kMostToOne);
+    if (std::exchange(connections_to_one_, each) == each) return;
+    for (Host* h : hosts_) h->most_connections(each);
+}
+
 // ---------------------------------------------------------------- owners
 
 Task& Front::make(std::uint64_t id, ledger::Record& r, Owner* owner, const std::string& peer) {
--- a/src/platform/front.h
+++ b/src/platform/front.h
@@ -84,6 +84,7 @@
         ledger::Node* node = nullptr;
         std::string address;
         Listed listed;
+        bool there() const { return host && listed.stage != Stage::gone; }
     };
     struct Waiting {  // taken over on a host that is not listed yet
         std::uint64_t id;
@@ -117,6 +118,7 @@
     void look();
     void wind_up(Nanos now);
     bool close_least_useful();
+    void share_connections();
     void serve_descriptor_queue(Nanos now);
     Connection* oldest_past_its_turn(Nanos now, bool closable);
     void turn();
@@ -138,7 +140,9 @@
     Owners owners_;
     BusDoor bus_;
     std::map<std::string, Known, std::less<>> known_;
-    std::vector<Host*> hosts_;                                                   // by the planner's number
+    std::size_t hosts_there_ = 0;         // listed and not gone
+    std::size_t connections_to_one_ = 0;  // the most, as last told to all hosts
+    std::vector<Host*> hosts_;            // by the planner's number
     std::unordered_map<planner::ContainerNumber, std::unique_ptr<Task>> tasks_;  // looked up, never walked
     std::unordered_map<std::uint64_t, Task*> by_id_;                             // neither is this
     std::unordered_map<std::string, Task*> standing_;                            // by the name of the task
