--- a/include/whinpost/placer.h
+++ b/include/whinpost/placer.h
@@ -108,7 +108,7 @@
 };
 
 struct Service {
-    Service(int number_, std::uint64_t mark_) : number(number_), mark(mark_) {}
+    Service(int its_number, std::uint64_t its_mark) : number(its_number), mark(its_mark) {}
     int number;
     std::uint64_t mark;  // says only that it is the same one, alike at every placer
     int containers = 0;
@@ -130,7 +130,7 @@
 };
 
 struct Machine {
-    Machine(int number_, std::uint64_t mark_, Nanos turn);
+    Machine(int its_number, std::uint64_t its_mark, Nanos turn);
     int number;
     std::uint64_t mark;  // says only that it is the same one, alike at every placer
     Listed listed;
@@ -217,10 +217,10 @@
 
 private:
     friend class Placer;
-    Placer* placer = nullptr;
-    std::list<std::unique_ptr<Container>>::iterator self;
-    std::list<Container*>::iterator queued;
-    bool in_queue = false;
+    Placer* placer_ = nullptr;
+    std::list<std::unique_ptr<Container>>::iterator self_;
+    std::list<Container*>::iterator queued_;
+    bool in_queue_ = false;
 };
 
 class Placer {
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -49,8 +49,8 @@
 constexpr Nanos kTally = 250 * kMillisecond;  // 16 buckets: four seconds of own changes and of launches' ends
 constexpr double kLine = 8;  // unanswered launches at one machine, at first: a short line, shared
 
-Machine::Machine(int number_, std::uint64_t mark_, Nanos turn)
-    : number(number_), mark(mark_), new_cores(kTally), new_memory(kTally), offers(turn), line(kLine) {}
+Machine::Machine(int its_number, std::uint64_t its_mark, Nanos turn)
+    : number(its_number), mark(its_mark), new_cores(kTally), new_memory(kTally), offers(turn), line(kLine) {}
 
 Placer::Placer(Port& port, std::uint64_t seed, int zone, std::vector<QueueGroup> groups,
                std::vector<MachineKind> kinds, Acceptance accepts, ColdTerms cold, ListTerms list,
@@ -152,8 +152,8 @@
 
 Container& Placer::take(Nanos now, Service& service, const Asked& asked, std::uint64_t tag) {
     Container& c = *containers_.emplace_back(std::make_unique<Container>());
-    c.self = std::prev(containers_.end());
-    c.placer = this;
+    c.self_ = std::prev(containers_.end());
+    c.placer_ = this;
     c.tag = tag;
     c.asked = asked;
     c.service = &service;
@@ -167,7 +167,7 @@
 
 Container& Placer::take_over(Nanos now, Service& service, const Asked& asked, Machine& m, std::uint64_t tag) {
     Container& c = take(now, service, asked, tag);
-    if (std::exchange(c.in_queue, false)) queue_.erase(c.queued);
+    if (std::exchange(c.in_queue_, false)) queue_.erase(c.queued_);
     c.launches = 1;
     put(now, c, m);
     m.new_cores.clear();  // it is in the view already
@@ -182,17 +182,17 @@
 
 void Placer::release(Container& c) {
     settle(c);
-    containers_.erase(c.self);
+    containers_.erase(c.self_);
 }
 
 void Placer::enqueue(Container& c) {
-    c.queued = queue_.insert(queue_.end(), &c);
-    c.in_queue = true;
+    c.queued_ = queue_.insert(queue_.end(), &c);
+    c.in_queue_ = true;
 }
 
 void Placer::settle(Container& c) {
     c.settled = true;
-    if (std::exchange(c.in_queue, false)) queue_.erase(c.queued);
+    if (std::exchange(c.in_queue_, false)) queue_.erase(c.queued_);
 }
 
 // A deferral says that trying again is harmless: only while no launch may have run, or where any machine
@@ -287,7 +287,7 @@
 
 void Container::served_share(Nanos now, int, double share) {
     if (!out || !placed) return;
-    Placer& p = *placer;
+    Placer& p = *placer_;
     const double seen = 1.0 / std::max(share, 0.05) - 1.0;
     noted_quality = true;
     // Guards against whatever slows a machine and no neighbour explains: a slow or shared machine, containers
@@ -306,14 +306,14 @@
     cores_used = cores;
     service->cores_notes += 1;
     service->mean_cores = fade_to(service->mean_cores, cores, std::max(0.05, 1 / service->cores_notes));
-    placer->use_cores_ = placer->use_cores_ * kForget + cores;
-    placer->ask_cores_ = placer->ask_cores_ * kForget + asked.cores;
+    placer_->use_cores_ = placer_->use_cores_ * kForget + cores;
+    placer_->ask_cores_ = placer_->ask_cores_ * kForget + asked.cores;
 }
 
 void Container::uses_memory(Nanos, int, double memory) {
     if (!out) return;
-    placer->use_memory_ = placer->use_memory_ * kForget + memory;
-    placer->ask_memory_ = placer->ask_memory_ * kForget + asked.memory;
+    placer_->use_memory_ = placer_->use_memory_ * kForget + memory;
+    placer_->ask_memory_ = placer_->ask_memory_ * kForget + asked.memory;
 }
 
 void Container::machine_memory(Nanos now, int, double share) {
@@ -336,12 +336,12 @@
     out->waiting -= 1;
     out->waiting_since = now;
     out->line = std::min(4 * kLine, out->line + kLineGrows);
-    if (!placer->stalled(now)) placer->answer_s_ = fade_to(placer->answer_s_, seconds(now - sent), 0.05);
-    if (placer->accepts_.yes_on_running) placer->started(now, *this);
+    if (!placer_->stalled(now)) placer_->answer_s_ = fade_to(placer_->answer_s_, seconds(now - sent), 0.05);
+    if (placer_->accepts_.yes_on_running) placer_->started(now, *this);
 }
 
 void Container::runs(Nanos now, int) {
-    if (out && !running) placer->started(now, *this);
+    if (out && !running) placer_->started(now, *this);
 }
 
 // Guards against what a placer that stood still would read out of it: all that came meanwhile is told at
@@ -363,7 +363,7 @@
         c.out->excess = late > old ? late : fade_to(old, late, 0.5);
         c.out->excess_at = now;
         // Follows the slow fifth: a start that looks cold here may be warm by another placer's container.
-        double& usual = usual_start_[static_cast<std::size_t>(2 * c.asked.group + c.warm_start)];
+        double& usual = usual_start_[2 * static_cast<std::size_t>(c.asked.group) + c.warm_start];
         usual = usual > 0 ? usual * (took > usual ? 1.16 : 1 / 1.04) : took;
     }
     if (!c.warm_start) {
@@ -393,7 +393,7 @@
 constexpr Nanos kSendsAwayHolds = 5 * kSecond;        // it drains for sure; late lists come within that
 
 void Container::ended(Nanos now, int, Ending how, Reason why, bool closed, const Report& report) {
-    Placer& p = *placer;
+    Placer& p = *placer_;
     if (!out) return;
     Machine& m = *out;
     p.heard(now, m, report);
@@ -453,7 +453,7 @@
     else p.enqueue(*this);
 }
 
-void Container::withdrawn(Nanos) { placer->settle(*this); }
+void Container::withdrawn(Nanos) { placer_->settle(*this); }
 
 void Placer::put(Nanos now, Container& c, Machine& m) {
     c.out = &m;
@@ -621,7 +621,7 @@
 // usual one of its queue group stands in for the machine's own slow-down. Guards against slow and shared
 // machines; young ones are slow by nature. One odd start could shun a machine for some seconds.
 double Placer::late_start(const Container& c, Nanos now) const {
-    const double usual = usual_start_[static_cast<std::size_t>(2 * c.asked.group + c.warm_start)];
+    const double usual = usual_start_[2 * static_cast<std::size_t>(c.asked.group) + c.warm_start];
     return usual <= 0 || young(c.sent, *c.out)
                ? 0
                : std::clamp(seconds(now - c.sent) / (kLateStart * usual) - 1, 0.0, 1.0);
@@ -794,7 +794,7 @@
 }
 
 void Placer::launch(Nanos now, Container& c, Machine& m) {
-    if (std::exchange(c.in_queue, false)) queue_.erase(c.queued);
+    if (std::exchange(c.in_queue_, false)) queue_.erase(c.queued_);
     const Nanos wait = time_out(now, c);
     put(now, c, m);
     ++c.launches;
--- a/src/platform/briefing.cpp
+++ b/src/platform/briefing.cpp
@@ -51,7 +51,7 @@
     return parse(text, path);
 }
 
-Briefing Briefing::parse(std::string_view text, std::string path) {
+Briefing Briefing::parse(std::string_view text, const std::string& path) {
     const Json root = Json::parse(text.begin(), text.end(), nullptr, false);
     if (root.is_discarded() || !root.is_object()) throw Wrong(path + ": not a JSON object");
     Briefing b(path);
--- a/src/platform/briefing.h
+++ b/src/platform/briefing.h
@@ -16,7 +16,7 @@
 class Briefing {
 public:
     static Briefing read(const std::string& path);
-    static Briefing parse(std::string_view text, std::string path);
+    static Briefing parse(std::string_view text, const std::string& path);
 
     const std::string& listen() const { return listen_; }
     std::uint64_t seed() const { return seed_; }
--- a/src/platform/owners.cpp
+++ b/src/platform/owners.cpp
@@ -216,7 +216,8 @@
 // One that lingers for its client to close, with nothing on its way that a close would destroy.
 bool Owners::drop_one_that_left(bool turned_away) {
     const auto quiet = std::find_if(left_.begin(), left_.end(), [turned_away](const auto& o) {
-        return o->turned_away_ == turned_away && (o->closed_ || !o->stream_->unread()) && o->stream_->unsent() == 0;
+        return o->turned_away_ == turned_away && (o->closed_ || !o->stream_->unread()) &&
+               o->stream_->unsent() == 0;
     });
     if (quiet == left_.end()) return false;
     left_.erase(quiet);
--- a/test.sh
+++ b/test.sh
@@ -9,5 +9,6 @@
 cmake -G Ninja -B build-test -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS=-O1 -DWHINPOST_TESTS=ON -DWHINPOST_PROGRAM=ON \
     -DWHINPOST_STRICT=ON -DWHINPOST_SANITIZE=ON
 cmake --build build-test
+./lint.sh
 ctest --test-dir build-test --output-on-failure -j4
 fuzz/run.sh
