One way to write a release to a client, no second copy of when it was accepted

Found on reading the whole change again: Owner::refuse, Front::refuse and Owner::release each built the same message; accepted_at_ said what since_ says; a doc comment stood over the wrong class; two tests built the same flood.

--- a/include/whinpost/hash_ring.h
+++ b/include/whinpost/hash_ring.h
@@ -23,7 +23,8 @@
     // stand here already.
     template <class PointsOf>
     void insert(const std::vector<Member*>& members, PointsOf points_of) {
-        const auto old = static_cast<std::ptrdiff_t>(remove_old_points_of(members));
+        remove_old_points_of(members);
+        const auto old = static_cast<std::ptrdiff_t>(fresh_.size());
         for (Member* m : members) {
             points_of(*m, [this, m](std::uint64_t at) { fresh_.push_back({at, m}); });
             m->on_ring = true;
@@ -68,13 +69,12 @@
         return nullptr;
     }
     // Points of members that were taken out are passed over; once they are many, or one of these comes back,
-    // they go. Gives back how many fresh ones are left.
-    std::size_t remove_old_points_of(const std::vector<Member*>& members) {
+    // they go.
+    void remove_old_points_of(const std::vector<Member*>& members) {
         const auto absent = [this](Member* m) {
             return std::find(absent_.begin(), absent_.end(), m) != absent_.end();
         };
         if (!absent_.empty() && std::any_of(members.begin(), members.end(), absent)) sweep();
-        return fresh_.size();
     }
     void sweep() {
         const auto gone = [](const Point& p) { return !p.second->on_ring; };
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -290,22 +290,12 @@
     return it == tasks_.end() ? nullptr : it->second.get();
 }
 
-void Front::refuse(Owner& to, std::uint64_t id, std::uint8_t cause, Nanos stay_away) {
-    Message m;
-    m.type = Type::release;
-    m.task = id;
-    m.cause = cause;
-    const std::string ms = std::to_string(stay_away / kMillisecond);
-    if (stay_away > 0) m.stay_away = ms;
-    to.write(m);
-}
-
 void Front::set_up(Owner& from, const Message& m, Nanos since) {
     SetUp s;
     const std::string_view wrong = read_set_up(m, group_names_, ledger_.groups(), largest_, s);
     if (!wrong.empty()) {
         log_(log::Level::debug, "set_up_wrong", {{"peer", from.peer()}, {"why", wrong}});
-        return refuse(from, m.task, signalling::kError);
+        return from.refuse(m.task, signalling::kError);
     }
     if (!s.at.empty()) {
         if (!take_over(m.task, s, &from, from.peer())) {
@@ -319,13 +309,13 @@
              {{"peer", from.peer()}, {"same", it->second->owner == &from}});
         // Two under one number: an answer to either could be read as the other's.
         if (it->second->owner == &from) return from.end();
-        return refuse(from, m.task, signalling::kError);
+        return from.refuse(m.task, signalling::kError);
     }
     const Nanos now = loop_.now();
     // Its client counts from when it wrote it. What lay in the kernel while the loop was busy has less left.
     s.asked.time_left -= std::max<Nanos>(0, now - since);
     if (s.asked.time_left <= 0 || (closing_at_ && now >= closing_at_))
-        return refuse(from, m.task, signalling::kTryLater);
+        return from.refuse(m.task, signalling::kTryLater);
     const std::uint64_t service = mark_of(s.service);
     ledger::Record& r = ledger_.take(now, s.name, service, s.asked);
     Task& t = make(m.task, r, &from, from.peer());
@@ -456,7 +446,7 @@
     ledger_.give(loop_.now(), *t.record, a);
     if (!t.owner) return;
     owners_.answered(*t.owner);
-    refuse(*t.owner, t.id, a == Answer::deferred ? signalling::kTryLater : signalling::kReset, stay_away);
+    t.owner->refuse(t.id, a == Answer::deferred ? signalling::kTryLater : signalling::kReset, stay_away);
     t.owner = nullptr;
 }
 
--- a/src/platform/front.h
+++ b/src/platform/front.h
@@ -103,7 +103,6 @@
     void stands_for_owner(Task&);
     Task* find(planner::ContainerNumber);
     bool take_over(std::uint64_t id, const SetUp&, Owner*, const std::string& peer);
-    void refuse(Owner&, std::uint64_t id, std::uint8_t cause, Nanos stay_away = 0);
     std::vector<Task*> of(const Owner&);                // in the order they were taken
     void give(Task&, ledger::Answer, Nanos stay_away);  // the final answer, and nothing else
     void answer(Task&, ledger::Answer, Nanos stay_away);
--- a/src/platform/hosts.h
+++ b/src/platform/hosts.h
@@ -19,9 +19,9 @@
 
 namespace whinpost::platform {
 
-// What becomes of what was sent to hosts.
 class Host;
 
+// What becomes of what was sent to hosts.
 class HostUser {
 public:
     virtual ~HostUser() = default;
--- a/src/platform/owners.cpp
+++ b/src/platform/owners.cpp
@@ -36,8 +36,8 @@
 
 Owner::Owner(Owners& owners, std::unique_ptr<net::Stream> s, bool turned_away)
     : owners_(owners), stream_(std::move(s)), peer_(host_of(stream_->peer())), since_(owners.loop_.now()),
-      used_(since_), accepted_at_(since_), unseen_at_accept_(owners.loop_.unseen_since()),
-      turned_away_(turned_away), ending_(turned_away) {
+      used_(since_), unseen_at_accept_(owners.loop_.unseen_since()), turned_away_(turned_away),
+      ending_(turned_away) {
     owners_.turned_away_ += turned_away_;
 }
 Owner::~Owner() { owners_.turned_away_ -= turned_away_; }
@@ -47,11 +47,7 @@
 void Owner::release(std::uint64_t id, std::uint8_t cause) {
     if (unheard_.size() >= kMostUnheard) unheard_.erase(unheard_.begin());
     unheard_.push_back({id, cause, owners_.loop_.now()});
-    Message m;
-    m.type = Type::release;
-    m.task = id;
-    m.cause = cause;
-    write(m);
+    refuse(id, cause);
 }
 
 void Owner::write(const Message& m) {
@@ -70,11 +66,13 @@
     owners_.user_.owner_stuck();
 }
 
-void Owner::refuse(std::uint64_t id) {
+void Owner::refuse(std::uint64_t id, std::uint8_t cause, Nanos stay_away) {
     Message m;
     m.type = Type::release;
     m.task = id;
-    m.cause = signalling::kTryLater;
+    m.cause = cause;
+    const std::string ms = std::to_string(stay_away / kMillisecond);
+    if (stay_away > 0) m.stay_away = ms;
     write(m);
 }
 
@@ -106,7 +104,7 @@
 std::size_t Owner::received(std::string_view in) {
     if (ended_) return in.size();
     Nanos since = owners_.loop_.unseen_since();
-    if (!spoke_ && since <= accepted_at_) since = std::min(since, unseen_at_accept_);
+    if (!spoke_ && since <= since_) since = std::min(since, unseen_at_accept_);
     if (backlog_since_) since = std::min(since, backlog_since_);
     bool spoilt = false;
     reading_ = true;
@@ -142,7 +140,7 @@
                       {"description", m.description ? static_cast<int>(m.description->size()) : -1}});
     switch (m.type) {
         case Type::set_up:
-            if (ending_ || stuck_) refuse(m.task);
+            if (ending_ || stuck_) refuse(m.task, signalling::kTryLater);
             else owners_.user_.set_up(*this, m, since);
             break;
         case Type::release:
--- a/src/platform/owners.h
+++ b/src/platform/owners.h
@@ -23,6 +23,8 @@
     Owner(const Owner&) = delete;
     Owner& operator=(const Owner&) = delete;
     void write(const signalling::Message&);
+    // A refusal, or the end of what failed before it stood. `stay_away`: for how long; 0: not said.
+    void refuse(std::uint64_t id, std::uint8_t cause, Nanos stay_away = 0);
     // The end of a container that stood; kept until it is heard.
     void release(std::uint64_t id, std::uint8_t cause);
     struct Unheard {
@@ -44,13 +46,12 @@
     std::size_t received(std::string_view) override;
     void closed(net::Closed) override;
     void heard(const signalling::Message&, Nanos since);
-    void refuse(std::uint64_t id);
 
     Owners& owners_;
     std::unique_ptr<net::Stream> stream_;
     std::string peer_;
     Nanos since_, used_, half_since_ = 0;
-    const Nanos accepted_at_, unseen_at_accept_;
+    const Nanos unseen_at_accept_;
     Nanos backlog_since_ = 0;  // more lies unread than one read takes, since then
     const bool turned_away_;
     bool spoke_ = false, told_ = false;  // told_: something was ever said to it
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -25,6 +25,18 @@
     return o.count(Type::answer, id) + o.count(Type::release, id);
 }
 
+std::string health_checks(std::uint64_t count) {
+    std::string out;
+    for (std::uint64_t k = 0; k < count; ++k) {
+        Message m;
+        m.type = Type::test;
+        m.task = k;
+        m.cause = 0;
+        signalling::append(out, m);
+    }
+    return out;
+}
+
 }  // namespace
 
 TEST_CASE("a container is launched with its owner's words, and the host's yes and end pass on") {
@@ -415,15 +427,7 @@
     Line& deaf = t.owner(2);
     deaf.stream->read(false);
     for (int i = 0; i < 40; ++i) {
-        std::string flood;
-        for (std::uint64_t k = 0; k < 200; ++k) {
-            Message m;
-            m.type = Type::test;
-            m.task = k;
-            m.cause = 0;
-            signalling::append(flood, m);
-        }
-        deaf.raw(flood);
+        deaf.raw(health_checks(200));
         t.run(5 * kMillisecond);
     }
     t.run(kSecond);
@@ -649,15 +653,7 @@
     t.ask(deaf, 7);
     REQUIRE(t.h.launches().size() == 1);
     deaf.stream->read(false);
-    std::string flood;
-    for (std::uint64_t k = 0; k < 60'000; ++k) {
-        Message m;
-        m.type = Type::test;
-        m.task = k;
-        m.cause = 0;
-        signalling::append(flood, m);
-    }
-    deaf.raw(flood);
+    deaf.raw(health_checks(60'000));
     // No sweep, which comes every 100 ms, is needed for it.
     for (int i = 0; i < 90 && t.front.tasks(); ++i) t.run(kMillisecond);
     CHECK(t.front.tasks() == 0);
