Platform server logs and counts each close, retry, refusal, adoption and drop

Now at info: every client connection that this side closes, with its reason and what was open on it; adoptions, dropped reports, pending, resent and dropped releases, ends that are no completion, retries, final refusals, migrations that are skipped, worker phases, the watch's state, the steps of a drain. Counters of all of these every 10 s where one has changed. Ids on each line. Nothing dropped leaves in silence: expired releases and reports, ends beyond the bound, cancellations of a lost worker.

--- a/include/whinpost/endpoint_state.h
+++ b/include/whinpost/endpoint_state.h
@@ -1,10 +1,23 @@
 // What the endpoint list and load reports say of a worker.
 #pragma once
+#include <string_view>
+
 #include "whinpost/nanos.h"
 
 namespace whinpost {
 
 enum class EndpointPhase { serving, draining, gone };
+constexpr std::string_view to_string(EndpointPhase phase) {
+    switch (phase) {
+        case EndpointPhase::serving:
+            return "serving";
+        case EndpointPhase::draining:
+            return "draining";
+        case EndpointPhase::gone:
+            return "gone";
+    }
+    return "";
+}
 
 struct WorkerKind {
     double cores = 0, memory = 0;
--- a/src/platform/attempt_controller.cpp
+++ b/src/platform/attempt_controller.cpp
@@ -39,6 +39,7 @@
     context_.timers.arm(task->attempt_timeout, (*started)->deadline);
     context_.log(log::Level::debug, "attempt_started",
                  {{"task", task->name},
+                  {"id", task->id},
                   {"worker", worker.name()},
                   {"attempts", task->record->attempts.size()},
                   {"timeout_ms", timeout / kMillisecond}});
@@ -64,6 +65,11 @@
     InFlightTask* task = tasks_.find(number);
     if (!task || !task->running) return;
     ClientConnection* client = lifecycle_.connection_of(*task);
+    context_.log(log::Level::info, "task_migrating",
+                 {{"task", task->name},
+                  {"id", task->id},
+                  {"worker", task->worker->name()},
+                  {"skipped", client == nullptr}});
     if (!client) return;  // nobody would place it anew: it stays
     Message message;
     message.type = MessageType::migrate;
@@ -97,8 +103,11 @@
     const PlacementRequest& request = report.request;
     if (tasks_.find_by_id(report.id)) return true;
     if (const InFlightTask* known = tasks_.find_running(request.task_name)) {
-        context_.log(log::Level::debug, "task_already_adopted",
+        context_.log(log::Level::info, "task_already_adopted",
                      {{"task", request.task_name},
+                      {"id", report.id},
+                      {"known_id", known->id},
+                      {"client", report.client_address},
                       {"same_worker", known->worker && known->worker->name() == request.running_on}});
         return true;
     }
@@ -113,8 +122,13 @@
     task.name = request.task_name;
     context_.planner().adopt(now, record.number, service, request.resources, worker.number());
     lifecycle_.start_running(task, worker);
-    context_.log(log::Level::debug, "task_adopted",
-                 {{"task", request.task_name}, {"worker", request.running_on}});
+    ++context_.statistics.tasks_adopted;
+    context_.log(log::Level::info, "task_adopted",
+                 {{"task", request.task_name},
+                  {"id", report.id},
+                  {"worker", request.running_on},
+                  {"client", report.client_address},
+                  {"connected", client != nullptr}});
     if (const std::optional<platform_codec::Cause> cause = worker.recent_end_of(report.id)) {
         const bool completed = *cause == platform_codec::Cause::ok;
         on_task_ended(task, completed ? AttemptOutcome::completed : AttemptOutcome::reset,
@@ -124,6 +138,16 @@
     return true;
 }
 
+void AttemptController::on_report_dropped(const RunningTaskReport& report) {
+    ++context_.statistics.reports_dropped;
+    context_.log(log::Level::warning, "task_report_dropped",
+                 {{"task", report.request.task_name},
+                  {"id", report.id},
+                  {"worker", report.request.running_on},
+                  {"client", report.client_address},
+                  {"waited_ms", (context_.now() - report.since) / kMillisecond}});
+}
+
 // ---------------------------------------------------------------- what workers say
 
 bool AttemptController::may_send(InFlightTask& task) {
@@ -184,6 +208,13 @@
 
 void AttemptController::on_task_ended(InFlightTask& task, AttemptOutcome outcome, OutcomeReason reason,
                                       platform_codec::Cause cause, const LoadReport& report) {
+    if (outcome != AttemptOutcome::completed)
+        context_.log(log::Level::info, "task_ended",
+                     {{"task", task.name},
+                      {"id", task.id},
+                      {"worker", task.worker->name()},
+                      {"cause", static_cast<int>(cause)},
+                      {"connected", lifecycle_.connection_of(task) != nullptr}});
     task.worker->remove_running(task, false);
     if (cause != platform_codec::Cause::cancelled) lifecycle_.notify_task_ended(task, cause);
     lifecycle_.end_attempt(task, outcome, reason, report, true);
--- a/src/platform/attempt_controller.h
+++ b/src/platform/attempt_controller.h
@@ -20,6 +20,7 @@
     // The client no longer wants its running task.
     void cancel_running(InFlightTask&);
     bool adopt(const RunningTaskReport&, ClientConnection*) override;
+    void on_report_dropped(const RunningTaskReport&) override;
 
     bool may_send(InFlightTask&) override;
     void on_attempt_accepted(InFlightTask&, std::string_view description) override;
--- a/src/platform/client_connection.cpp
+++ b/src/platform/client_connection.cpp
@@ -31,11 +31,13 @@
 
 ClientConnection::ClientConnection(ClientServer& server, std::unique_ptr<net::Stream> stream,
                                    Admission admission)
-    : server_(server), stream_(std::move(stream)), client_address_(without_port(stream_->peer())),
-      admission_(admission), state_(is_rejected() ? State::ending : State::open),
-      connected_at_(server.loop_.now()), last_used_(connected_at_),
-      unseen_since_at_accept_(server.loop_.unseen_since()) {
+    : server_(server), stream_(std::move(stream)), peer_(stream_->peer()),
+      client_address_(without_port(peer_)), admission_(admission),
+      state_(is_rejected() ? State::ending : State::open), connected_at_(server.loop_.now()),
+      last_used_(connected_at_), unseen_since_at_accept_(server.loop_.unseen_since()) {
     if (is_rejected()) ++server_.rejected_count_;
+    ++server_.statistics_.accepted;
+    if (is_rejected()) close_reason_ = ClientCloseReason::server_full;
 }
 ClientConnection::~ClientConnection() {
     if (is_rejected()) --server_.rejected_count_;
@@ -86,12 +88,14 @@
 // Guards against a close over bytes of the peer that were not read yet: the kernel would reset the
 // connection, and what was just answered would never arrive. So it is half-closed, and read on until the peer
 // closes.
-void ClientConnection::end() {
+void ClientConnection::end(ClientCloseReason reason) {
     if (state_ == State::ended) return;
     if (reading_) {
         state_ = State::ending;
+        close_reason_ = reason;
         return;
     }
+    record_close(reason);
     server_.handler_.on_client_ending(*this);
     state_ = State::ended;
     ended_at_ = server_.loop_.now();
@@ -114,21 +118,22 @@
     reading_ = false;
     const bool malformed = decoded.error.has_value();
     if (malformed) {
-        server_.log_(log::Level::debug, "client_message_malformed", {{"client", client_address_}});
+        server_.log_(log::Level::debug, "client_message_malformed", {{"client", peer_}});
         stream_->set_reading(false);  // there may be no end of it
+        if (state_ == State::open) close_reason_ = ClientCloseReason::malformed;
         if (state_ == State::open) state_ = State::ending;
     }
     backlog_since_ = in.size() >= net::kMaxReadSize && stream_->has_unread() ? since : 0;
     if (decoded.consumed == in.size()) partial_since_ = 0;
     else if (!partial_since_) partial_since_ = server_.loop_.now();
-    if (state_ == State::ending && (malformed || has_sent_)) end();
+    if (state_ == State::ending && (malformed || has_sent_)) end(close_reason_);
     return state_ == State::ended ? in.size() : decoded.consumed;
 }
 
 void ClientConnection::log_message(const Message& message) const {
     if (!server_.log_.enabled(log::Level::debug)) return;
     server_.log_(log::Level::debug, "client_message",
-                 {{"client", stream_->peer()},
+                 {{"client", peer_},
                   {"type", static_cast<int>(message.type)},
                   {"task", message.task},
                   {"cause", message.cause ? static_cast<int>(*message.cause) : -1},
@@ -165,7 +170,7 @@
         case MessageType::note:
         case MessageType::migrate:
         case MessageType::health_check_reply:
-            end();  // no client has any business with what workers say
+            end(ClientCloseReason::protocol_error);  // no client has any business with what workers say
     }
 }
 
@@ -183,9 +188,12 @@
 // never sees that.
 void ClientConnection::on_closed(net::CloseReason reason) {
     peer_closed_ = true;
-    if (reason == net::CloseReason::by_peer && state_ != State::ended) return end();
+    if (reason == net::CloseReason::by_peer && state_ != State::ended)
+        return end(ClientCloseReason::closed_by_client);
+    if (state_ != State::ended) record_close(ClientCloseReason::connection_lost);
     stream_->abort();  // its descriptor is free from now on
-    if (std::exchange(state_, State::ended) == State::ended) return;
+    if (state_ == State::ended) return;
+    state_ = State::ended;
     server_.move_to_ended(*this);
 }
 
@@ -197,4 +205,23 @@
                     partial_since_ ? now - partial_since_ - kPartialMessageTimeout : 0);
 }
 
+ClientCloseReason ClientConnection::overdue_reason() const {
+    if (is_rejected()) return ClientCloseReason::server_full;
+    return partial_since_ ? ClientCloseReason::partial_message : ClientCloseReason::no_request;
+}
+
+// What the client did itself is of interest only where something was open on the connection.
+void ClientConnection::record_close(ClientCloseReason reason) {
+    server_.statistics_.count_close(reason);
+    const bool by_client = reason == ClientCloseReason::closed_by_client;
+    const bool in_use = open_requests_ > 0 || running_tasks_ > 0;
+    server_.log_(by_client && !in_use ? log::Level::debug : log::Level::info, "client_closed",
+                 {{"client", peer_},
+                  {"reason", to_string(reason)},
+                  {"open_requests", open_requests_},
+                  {"running_tasks", running_tasks_},
+                  {"was_answered", was_written_to_},
+                  {"age_ms", (server_.loop_.now() - connected_at_) / kMillisecond}});
+}
+
 }  // namespace whinpost::platform
--- a/src/platform/client_connection.h
+++ b/src/platform/client_connection.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "net/stream.h"
+#include "platform/client_close_reason.h"
 #include "platform_codec/message.h"
 
 namespace whinpost::platform {
@@ -40,7 +41,7 @@
     }
     // What is owed on it is answered first, by the handler; then it is half-closed, and what was written
     // still leaves. From within on_received() this waits until all that was read is answered.
-    void end();
+    void end(ClientCloseReason);
     // Whether the client may have closed it, or cancelled its request, with the word of that still unread.
     bool may_have_disconnected() const;
     // What the connection is of use for: evicted first are those that are of none.
@@ -65,12 +66,16 @@
     bool is_rejected() const { return admission_ == Admission::rejected; }
     // How long ago it should have sent a whole request that wants an answer; 0 or less: it is not late.
     Nanos overdue(Nanos now) const;
+    ClientCloseReason overdue_reason() const;
+    // Once, when it leaves State::open or State::ending for good.
+    void record_close(ClientCloseReason);
 
     ClientServer& server_;
     std::unique_ptr<net::Stream> stream_;
-    std::string client_address_;
+    const std::string peer_, client_address_;
     const Admission admission_;
     State state_;
+    ClientCloseReason close_reason_ = ClientCloseReason::closed_by_client;  // valid while ending
     Nanos connected_at_, last_used_;
     Nanos partial_since_ = 0;  // a message has been partial since then; 0: none is
     const Nanos unseen_since_at_accept_;
--- a/src/platform/client_requests.cpp
+++ b/src/platform/client_requests.cpp
@@ -26,6 +26,7 @@
         return client.send_release(message.task, platform_codec::Cause::error);
     }
     if (request->running_on.empty()) return submit(client, message, std::move(*request), since);
+    ++parts_.context.statistics.tasks_reported;
     parts_.recovery.on_report(
         {message.task, std::move(*request), client.client_address(), parts_.context.now()}, client);
 }
@@ -38,7 +39,7 @@
         context.log(log::Level::debug, "request_id_in_use",
                     {{"client", client.client_address()}, {"same_client", same_client}});
         // Two under one id: an answer to either could be read as the other's.
-        if (same_client) return client.end();
+        if (same_client) return client.end(ClientCloseReason::duplicate_id);
         return client.send_release(message.task, platform_codec::Cause::error);
     }
     const Nanos now = context.now();
@@ -81,8 +82,15 @@
 
 // It may be the one that releases wait for.
 void ClientRequests::on_client_identified(ClientConnection& client) {
-    for (const PendingRelease& release : parts_.pending_releases.take(client.client_address()))
+    const Nanos now = parts_.context.now();
+    for (const PendingRelease& release : parts_.pending_releases.take(client.client_address())) {
+        ++parts_.context.statistics.releases_sent;
+        parts_.context.log(log::Level::info, "pending_release_sent",
+                           {{"id", release.id},
+                            {"client", release.client_address},
+                            {"waited_ms", (now - release.since) / kMillisecond}});
         client.send_task_ended(release.id, release.cause);
+    }
 }
 
 // This side closes it: no request that was accepted on it may be lost.
@@ -108,8 +116,10 @@
 void ClientRequests::keep_unacknowledged_releases(ClientConnection& left) {
     const std::string& address = left.client_address();
     for (const ClientConnection::UnacknowledgedRelease& release : left.unacknowledged_releases()) {
-        if (ClientConnection* other = parts_.clients.find_by_address(address))
-            other->send_task_ended(release.id, release.cause);
+        ClientConnection* other = parts_.clients.find_by_address(address);
+        parts_.context.log(log::Level::info, "release_unacknowledged",
+                           {{"id", release.id}, {"client", address}, {"sent_again", other != nullptr}});
+        if (other) other->send_task_ended(release.id, release.cause);
         else parts_.pending_releases.add({release.id, release.cause, address, release.since});
     }
 }
--- a/src/platform/client_server.cpp
+++ b/src/platform/client_server.cpp
@@ -37,7 +37,10 @@
 void ClientServer::accept(std::unique_ptr<net::Stream> stream) {
     const Nanos now = loop_.now();
     const bool room = handler_.make_room_for_client() || evict(now);
-    if (!room && !make_room_to_reject(now)) return stream->abort();
+    if (!room && !make_room_to_reject(now)) {
+        log_(log::Level::warning, "client_refused", {{"client", stream->peer()}, {"clients", size()}});
+        return stream->abort();
+    }
     const auto admission =
         room ? ClientConnection::Admission::accepted : ClientConnection::Admission::rejected;
     ClientConnection& client =
@@ -54,7 +57,7 @@
                !client->stream_->has_unread();
     });
     if (silent == clients_.end()) return false;
-    (*silent)->end();
+    (*silent)->end(ClientCloseReason::evicted);
     std::erase_if(ended_, [](const auto& client) { return client->is_rejected() && !client->has_sent_; });
     return true;
 }
@@ -83,7 +86,7 @@
             kept.push_back(evicted);
             continue;
         }
-        evicted->end();
+        evicted->end(ClientCloseReason::evicted);
         std::erase_if(ended_, [evicted](const auto& client) { return client.get() == evicted; });
         return true;
     }
@@ -138,14 +141,14 @@
         if (rejected_long || (late > 0 && (late > kMaxUnreadDelay || !client->stream_->has_unread())))
             overdue.push_back(client.get());
     }
-    for (ClientConnection* client : overdue) client->end();
+    for (ClientConnection* client : overdue) client->end(client->overdue_reason());
 }
 
 void ClientServer::end_stalled() {
     std::vector<ClientConnection*> stalled;
     for (const auto& client : clients_)
         if (client->stalled_) stalled.push_back(client.get());
-    for (ClientConnection* client : stalled) client->end();
+    for (ClientConnection* client : stalled) client->end(ClientCloseReason::reads_too_slowly);
 }
 
 bool ClientServer::drain(Nanos now, Nanos deadline) {
@@ -156,7 +159,7 @@
     std::vector<ClientConnection*> idle;
     for (const auto& client : clients_)
         if (!client->open_requests_ && !client->stream_->has_unread()) idle.push_back(client.get());
-    for (ClientConnection* client : idle) client->end();
+    for (ClientConnection* client : idle) client->end(ClientCloseReason::draining);
     sweep(now);
     return now >= deadline || (clients_.empty() && ended_.empty());
 }
--- a/src/platform/client_server.h
+++ b/src/platform/client_server.h
@@ -10,6 +10,7 @@
 #include "net/stream.h"
 #include "platform/client_connection.h"
 #include "platform/client_handler.h"
+#include "platform/server_statistics.h"
 
 namespace whinpost::platform {
 
@@ -32,6 +33,7 @@
     bool clients_acknowledge() const { return clients_acknowledge_; }
     // An open connection from that address; null if there is none.
     ClientConnection* find_by_address(const std::string& client_address) const;
+    const ClientStatistics& statistics() const { return statistics_; }
 
 private:
     friend class ClientConnection;
@@ -48,6 +50,7 @@
     const log::Logger& log_;
     ClientHandler& handler_;
     std::unique_ptr<net::Listener> listener_;
+    ClientStatistics statistics_;
     std::size_t rejected_count_ = 0;
     bool clients_acknowledge_ = false;
     Connections clients_, ended_;
--- a/src/platform/discovery_watch.cpp
+++ b/src/platform/discovery_watch.cpp
@@ -60,7 +60,7 @@
 }
 
 void DiscoveryWatch::retry_later(std::string_view reason) {
-    log_(log::Level::debug, "watch_closed", {{"reason", reason}, {"last_sequence", last_sequence_}});
+    log_(log::Level::info, "watch_closed", {{"reason", reason}, {"last_sequence", last_sequence_}});
     watching_ = false;
     const Nanos backoff = std::min(kMaxBackoff, kBackoff << std::min(failed_attempts_++, kMaxBackoffShift));
     const auto jitter = static_cast<Nanos>(random_() % kJitterSteps);
@@ -69,6 +69,7 @@
 
 void DiscoveryWatch::on_connected() {
     stream_->write(discovery::watch_request(address_, last_sequence_));
+    log_(log::Level::info, "watch_connected", {{"address", address_}, {"last_sequence", last_sequence_}});
     last_line_at_ = loop_.now();
     timer_->arm(last_line_at_ + kSilent);
 }
--- a/src/platform/pending_releases.cpp
+++ b/src/platform/pending_releases.cpp
@@ -20,8 +20,14 @@
     return taken;
 }
 
-void PendingReleases::expire(Nanos now) {
-    std::erase_if(releases_, [now](const PendingRelease& release) { return now - release.since > kKeptFor; });
+std::vector<PendingRelease> PendingReleases::expire(Nanos now) {
+    std::vector<PendingRelease> expired;
+    std::erase_if(releases_, [now, &expired](const PendingRelease& release) {
+        if (now - release.since <= kKeptFor) return false;
+        expired.push_back(release);
+        return true;
+    });
+    return expired;
 }
 
 }  // namespace whinpost::platform
--- a/src/platform/pending_releases.h
+++ b/src/platform/pending_releases.h
@@ -23,7 +23,8 @@
     void add(PendingRelease release) { releases_.push_back(std::move(release)); }
     // Removes and returns those for that client, in the order in which they were added.
     std::vector<PendingRelease> take(const std::string& client_address);
-    void expire(Nanos now);
+    // Removes and returns those whose client has not come back for too long.
+    std::vector<PendingRelease> expire(Nanos now);
 
 private:
     std::deque<PendingRelease> releases_;
--- a/src/platform/platform_server.cpp
+++ b/src/platform/platform_server.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Nanos kSweepInterval = 100 * kMillisecond;
+constexpr Nanos kStatisticsInterval = 10 * kSecond;
 constexpr Nanos kClosingSweepInterval = 5 * kMillisecond;  // while the last connections are closed
 
 WorkerKind largest_of(const std::vector<WorkerKind>& kinds) {
@@ -23,7 +24,8 @@
 PlatformServer::PlatformServer(net::EventLoop& loop, const log::Logger& log, ledger::Ledger& ledger,
                                PlatformServerOptions options)
     : loop_(loop), log_(log), rounds_(loop, *this),
-      timers_(loop), context_{loop, log, ledger, rounds_, timers_}, clients_(loop, log, requests_),
+      timers_(loop), context_{loop, log, ledger, rounds_, timers_, statistics_},
+      clients_(loop, log, requests_),
       discovery_watch_(loop, log, *this, options.zone_names, options.worker_kind_names, options.seed),
       budget_(options.descriptors),
       pool_(loop, log, attempts_, allocator_,
@@ -55,6 +57,23 @@
 }
 void PlatformServer::log(std::string_view line) { log_(log::Level::debug, "planner", {{"line", line}}); }
 
+// ---------------------------------------------------------------- graceful shutdown
+
+void PlatformServer::drain(std::function<void()> done) {
+    log_(log::Level::info, "drain_started", {{"tasks", tasks_.size()}, {"clients", clients_.size()}});
+    drain_.start(loop_.now(), [this, done = std::move(done)] {
+        log_(log::Level::info, "drain_finished",
+             {{"clients", clients_.size()}, {"pending_releases", pending_releases_.size()}});
+        log_statistics(log_, clients_.statistics(), statistics_);
+        done();
+    });
+}
+
+void PlatformServer::stop_reading_workers() {
+    log_(log::Level::info, "drain_closing", {{"tasks", tasks_.size()}, {"clients", clients_.size()}});
+    pool_.stop_reading();
+}
+
 // ---------------------------------------------------------------- discovery, rounds and the sweep
 
 void PlatformServer::on_watch_event(const discovery::WatchEvent& event) {
@@ -73,13 +92,29 @@
     timers_.rearm();
 }
 
+void PlatformServer::log_changed_statistics(Nanos now) {
+    if (now - statistics_logged_at_ < kStatisticsInterval) return;
+    if (statistics_ == logged_statistics_ && clients_.statistics() == logged_client_statistics_) return;
+    statistics_logged_at_ = now;
+    logged_statistics_ = statistics_;
+    logged_client_statistics_ = clients_.statistics();
+    log_statistics(log_, clients_.statistics(), statistics_);
+}
+
 void PlatformServer::sweep() {
     const Nanos now = loop_.now();
     clients_.sweep(now);
     pool_.sweep(now);
     allocator_.serve_queue(now);
     recovery_.expire(now);
-    pending_releases_.expire(now);
+    for (const PendingRelease& expired : pending_releases_.expire(now)) {
+        ++statistics_.releases_dropped;
+        log_(log::Level::warning, "release_dropped",
+             {{"id", expired.id},
+              {"client", expired.client_address},
+              {"waited_ms", (now - expired.since) / kMillisecond}});
+    }
+    log_changed_statistics(now);
     drain_.sweep(now);
     sweep_timer_->arm(now + (drain_.is_closing() ? kClosingSweepInterval : kSweepInterval));
 }
--- a/src/platform/platform_server.h
+++ b/src/platform/platform_server.h
@@ -53,7 +53,7 @@
         return clients_.listen(address);
     }
     // Accepts what still comes for a while, answers all that is owed, then calls `done`.
-    void drain(std::function<void()> done) { drain_.start(loop_.now(), std::move(done)); }
+    void drain(std::function<void()> done);
 
     // For tests and the log.
     std::size_t task_count() const { return tasks_.size(); }
@@ -76,8 +76,9 @@
     void on_watch_event(const discovery::WatchEvent&) override;
     void on_round_done() override;
     bool has_unanswered_tasks() const override { return !tasks_.all_running(); }
-    void stop_reading_workers() override { pool_.stop_reading(); }
+    void stop_reading_workers() override;
     bool close_clients(Nanos now, Nanos deadline) override { return clients_.drain(now, deadline); }
+    void log_changed_statistics(Nanos now);
     void sweep();
 
     net::EventLoop& loop_;
@@ -86,6 +87,7 @@
     // Tasks are destroyed before the timers that they are armed in.
     PlannerRounds rounds_;
     DeadlineTimers timers_;
+    ServerStatistics statistics_;
     const ServerContext context_;
     ClientServer clients_;
     DiscoveryWatch discovery_watch_;
@@ -103,6 +105,9 @@
     ClientRequests requests_;
     std::unique_ptr<net::Timer> sweep_timer_;
     bool planner_started_ = false;
+    Nanos statistics_logged_at_ = 0;
+    ServerStatistics logged_statistics_;
+    ClientStatistics logged_client_statistics_;
 };
 
 }  // namespace whinpost::platform
--- a/src/platform/pooled_worker.cpp
+++ b/src/platform/pooled_worker.cpp
@@ -40,6 +40,12 @@
     const bool moved = address_ != address && !address_.empty();
     const bool left = phase == EndpointPhase::gone && phase_ != EndpointPhase::gone;
     if (left) gone_at_ = loop_.now();
+    if (phase != phase_ || moved)
+        log_(log::Level::info, "worker_phase",
+             {{"worker", name_},
+              {"address", address},
+              {"phase", to_string(phase)},
+              {"running_tasks", running_.size()}});
     address_ = address;
     phase_ = phase;
     if (!moved && !left) return;
@@ -59,7 +65,11 @@
     for (const auto& [id, task] : all) {
         if (!running_.contains(id) || !task->record->in_flight || task->record->in_flight->sent_at >= at)
             continue;
-        log_(log::Level::info, "worker_restarted", {{"worker", name_}, {"task", task->name}});
+        log_(log::Level::info, "worker_restarted",
+             {{"worker", name_},
+              {"task", task->name},
+              {"id", id},
+              {"before_ms", (loop_.now() - at) / kMillisecond}});
         handler_.on_task_ended(*task, AttemptOutcome::reset, OutcomeReason::unspecified,
                                platform_codec::Cause::reset, {});
     }
@@ -129,7 +139,11 @@
 }
 
 void PooledWorker::remember_ended(std::uint64_t id, platform_codec::Cause cause) {
-    if (recently_ended_.size() >= kMaxEndedKept) recently_ended_.pop_front();
+    if (recently_ended_.size() >= kMaxEndedKept) {
+        log_(log::Level::warning, "worker_release_dropped",
+             {{"worker", name_}, {"id", recently_ended_.front().id}, {"reason", "too many"}});
+        recently_ended_.pop_front();
+    }
     recently_ended_.push_back({id, cause, last_received_});
 }
 
@@ -251,6 +265,12 @@
     return counts;
 }
 
+void PooledWorker::drop_pending_cancels() {
+    if (pending_cancels_.empty()) return;
+    log_(log::Level::info, "cancellations_dropped", {{"worker", name_}, {"tasks", pending_cancels_.size()}});
+    pending_cancels_.clear();
+}
+
 void PooledWorker::sweep(Nanos now) {
     closed_.clear();
     const ConnectionCounts counts = sweep_connections(now);
@@ -258,7 +278,7 @@
         recently_ended_.pop_front();
     // Nobody is there for them any more.
     if (is_gone() || refused_dials_ >= kRefusedForGood || now - last_received_ > kLost)
-        pending_cancels_.clear();
+        drop_pending_cancels();
     if (counts.alive || counts.dialing || (running_.empty() && pending_cancels_.empty())) return;
     if (refused_dials_ >= kRefusedForGood) return end_running_tasks("no process listens there");
     if (is_gone() && now - gone_at_ > kLastReports) return end_running_tasks("left");
--- a/src/platform/pooled_worker.h
+++ b/src/platform/pooled_worker.h
@@ -86,6 +86,7 @@
     void on_connection_lost(WorkerConnection&, bool was_up, bool refused);
     void cancel_doubtful_attempts(const WorkerConnection& lost);
     ConnectionCounts sweep_connections(Nanos now);
+    void drop_pending_cancels();
     void end_running_tasks(std::string_view reason);
 
     const std::string name_;
--- a/src/platform/server_context.h
+++ b/src/platform/server_context.h
@@ -5,6 +5,7 @@
 #include "net/stream.h"
 #include "platform/deadline_timers.h"
 #include "platform/planner_rounds.h"
+#include "platform/server_statistics.h"
 
 namespace whinpost::platform {
 
@@ -15,6 +16,7 @@
     ledger::Ledger& ledger;
     PlannerRounds& rounds;
     DeadlineTimers& timers;
+    ServerStatistics& statistics;
 
     Nanos now() const { return loop.now(); }
     planner::Planner& planner() const { return rounds.planner(); }
--- a/src/platform/task_lifecycle.cpp
+++ b/src/platform/task_lifecycle.cpp
@@ -12,6 +12,12 @@
 
 void TaskLifecycle::send_answer(InFlightTask& task, ledger::Answer answer, Nanos retry_after) {
     context_.ledger.record_answer(context_.now(), *task.record, answer);
+    context_.log(log::Level::info, answer == ledger::Answer::rejected ? "request_rejected" : "request_failed",
+                 {{"task", task.name},
+                  {"id", task.id},
+                  {"attempts", task.record->attempts.size()},
+                  {"retry_after_ms", retry_after / kMillisecond},
+                  {"connected", task.client != nullptr}});
     if (!task.client) return;
     task.client->remove_open_request();
     const platform_codec::Cause cause =
@@ -32,13 +38,18 @@
     ledger::TaskRecord& record = *task.record;
     const planner::TaskNumber number = record.number;
     task.attempt_timeout.disarm();
+    const std::string worker = record.attempts.empty() ? "" : record.attempts.back().worker->name;
     task.worker = nullptr;
     task.running = false;
     const int attempt = static_cast<int>(record.attempts.size()) - 1;
     if (record.in_flight) context_.ledger.on_ended(now, *record.in_flight, outcome);
     closed = closed || record.closed;
-    context_.log(log::Level::debug, "attempt_ended",
+    const bool is_retry = !closed && outcome != AttemptOutcome::rejected;
+    if (!closed) ++context_.statistics.attempts_retried;
+    context_.log(is_retry ? log::Level::info : log::Level::debug, "attempt_ended",
                  {{"task", task.name},
+                  {"id", task.id},
+                  {"worker", worker},
                   {"outcome", static_cast<int>(outcome)},
                   {"reason", static_cast<int>(reason)},
                   {"closed", closed}});
@@ -53,7 +64,13 @@
 }
 
 void TaskLifecycle::notify_task_ended(InFlightTask& task, platform_codec::Cause cause) {
-    if (ClientConnection* client = connection_of(task)) return client->send_task_ended(task.id, cause);
+    if (ClientConnection* client = connection_of(task)) {
+        ++context_.statistics.releases_sent;
+        return client->send_task_ended(task.id, cause);
+    }
+    ++context_.statistics.releases_pending;
+    context_.log(log::Level::info, "release_pending",
+                 {{"task", task.name}, {"id", task.id}, {"client", task.client_address}});
     pending_releases_.add({task.id, cause, task.client_address, context_.now()});
 }
 
--- a/src/platform/task_recovery.cpp
+++ b/src/platform/task_recovery.cpp
@@ -14,7 +14,7 @@
 void TaskRecovery::on_report(RunningTaskReport report, ClientConnection& client) {
     if (adopter_.adopt(report, &client)) return;
     pending_.push_back(std::move(report));
-    if (pending_.size() > kMaxPending) pending_.pop_front();
+    if (pending_.size() > kMaxPending) drop_first();
 }
 
 void TaskRecovery::retry_all() {
@@ -30,7 +30,13 @@
 }
 
 void TaskRecovery::expire(Nanos now) {
-    while (!pending_.empty() && now - pending_.front().since > kKeptFor) pending_.pop_front();
+    while (!pending_.empty() && now - pending_.front().since > kKeptFor) drop_first();
+}
+
+void TaskRecovery::drop_first() {
+    const RunningTaskReport report = std::move(pending_.front());
+    pending_.pop_front();
+    adopter_.on_report_dropped(report);
 }
 
 }  // namespace whinpost::platform
--- a/src/platform/task_recovery.h
+++ b/src/platform/task_recovery.h
@@ -24,6 +24,8 @@
     // Takes the task as running. False where its worker is not listed yet; true also where the task is known
     // already. `client` is null where the report came on a connection that may be gone.
     virtual bool adopt(const RunningTaskReport&, ClientConnection* client) = 0;
+    // Its worker was not listed in time, or too many reports waited.
+    virtual void on_report_dropped(const RunningTaskReport&) = 0;
 };
 
 class TaskRecovery {
@@ -41,6 +43,8 @@
     void expire(Nanos now);
 
 private:
+    void drop_first();
+
     TaskAdopter& adopter_;
     std::deque<RunningTaskReport> pending_;
 };
--- a/src/platform/worker_connection.cpp
+++ b/src/platform/worker_connection.cpp
@@ -179,6 +179,10 @@
 void WorkerConnection::on_connected() {
     state_ = State::up;
     timer_->disarm();
+    worker_.log_(worker_.refused_dials_ > 0 ? log::Level::info : log::Level::debug, "worker_connected",
+                 {{"worker", worker_.name_},
+                  {"running_tasks", worker_.running_.size()},
+                  {"refused_dials", worker_.refused_dials_}});
     last_received_ = last_used_ = up_since_ = worker_.loop_.now();
     worker_.refused_dials_ = 0;
     worker_.last_received_ = last_received_;
@@ -358,10 +362,13 @@
 void WorkerConnection::on_closed(net::CloseReason reason) {
     if (state_ == State::broken) return;
     stream_->abort();  // its descriptor is free from now on
-    worker_.log_(log::Level::debug, "worker_connection_closed",
+    const bool in_use = is_up() && (load() > 0 || worker_.has_running_tasks());
+    worker_.log_(in_use ? log::Level::info : log::Level::debug, "worker_connection_closed",
                  {{"worker", worker_.name_},
                   {"reason", net::to_string(reason)},
                   {"up", is_up()},
+                  {"running_tasks", worker_.running_.size()},
+                  {"refused_dials", worker_.refused_dials_},
                   {"attempts", in_flight_.size()}});
     // A descriptor that this process lacks says nothing about the worker.
     if (reason == net::CloseReason::out_of_descriptors) worker_.last_received_ = worker_.loop_.now();
--- a/tests/client_server_test.cpp
+++ b/tests/client_server_test.cpp
@@ -140,3 +140,30 @@
     CHECK_FALSE(fixture.server.drain(fixture.world.now(), deadline));
     CHECK(fixture.server.drain(deadline, deadline));
 }
+
+TEST_CASE("every close is counted with its reason") {
+    ClientServerFixture fixture;
+    TestClient& silent = fixture.connect(1);
+    TestClient& malformed = fixture.connect(2);
+    TestClient& leaving = fixture.connect(3);
+    TestClient& lost = fixture.connect(4);
+    TestClient& misbehaving = fixture.connect(5);
+    malformed.send_bytes(std::string(64, '\xff'));
+    misbehaving.answer(1);
+    fixture.request(leaving, 5);
+    fixture.request(lost, 6);
+    leaving.stream.reset();
+    lost.stream->abort();
+    fixture.sweep_for(3 * kSecond);
+    CHECK(silent.closed);
+    const platform::ClientStatistics& statistics = fixture.server.statistics();
+    const auto closed = [&statistics](platform::ClientCloseReason reason) {
+        return statistics.closed[static_cast<std::size_t>(reason)];
+    };
+    CHECK(statistics.accepted == 5);
+    CHECK(closed(platform::ClientCloseReason::no_request) == 1);
+    CHECK(closed(platform::ClientCloseReason::malformed) == 1);
+    CHECK(closed(platform::ClientCloseReason::protocol_error) == 1);
+    CHECK(closed(platform::ClientCloseReason::closed_by_client) == 1);
+    CHECK(closed(platform::ClientCloseReason::connection_lost) == 1);
+}
--- a/tests/task_answerer_test.cpp
+++ b/tests/task_answerer_test.cpp
@@ -55,7 +55,8 @@
     RecordingClientHandler client_handler;
     platform::PlannerRounds rounds{process, *this};
     platform::DeadlineTimers timers{process};
-    const platform::ServerContext context{process, log, ledger, rounds, timers};
+    platform::ServerStatistics statistics;
+    const platform::ServerContext context{process, log, ledger, rounds, timers, statistics};
     platform::ClientServer clients{process, log, client_handler};
     platform::TaskTable tasks{answerer, *this};
     platform::PendingReleases pending_releases;
--- a/tests/task_recovery_test.cpp
+++ b/tests/task_recovery_test.cpp
@@ -18,7 +18,9 @@
         with_client += client != nullptr;
         return true;
     }
+    void on_report_dropped(const RunningTaskReport& report) override { dropped.push_back(report.id); }
     std::set<std::string> listed;
+    std::vector<std::uint64_t> dropped;
     std::vector<std::uint64_t> adopted;
     int with_client = 0;
 };
@@ -70,6 +72,7 @@
     CHECK(fixture.recovery.size() == 2);
     fixture.recovery.expire(20 * kSecond + 1);
     CHECK(fixture.recovery.size() == 1);
+    CHECK(fixture.adopter.dropped == std::vector<std::uint64_t>{1});
     for (std::uint64_t id = 10; id < 2100; ++id) fixture.recovery.on_report(report(id, "w1"), fixture.client);
     CHECK(fixture.recovery.size() == 2000);
     fixture.adopter.listed = {"w1"};
