Tests with a placer's process under faults: reports, restarts, system calls; known red

After the clock is stepped back a restart is not seen. One ECONNABORTED, EINTR or EPROTO of accept while draining resets the rest of the backlog.

--- a/test.sh
+++ b/test.sh
@@ -10,5 +10,5 @@
     -DWHINPOST_STRICT=ON -DWHINPOST_SANITIZE=ON
 cmake --build build-test
 ./lint.sh
-ctest --test-dir build-test --output-on-failure -j4
+tests/run.sh build-test
 fuzz/run.sh
--- /dev/null
+++ b/tests/process_faults_test.cpp
@@ -0,0 +1,135 @@
+// The placer as a process of its own, under faults: whoever waits is told or ended in time (incident 04174b).
+#include <catch2/catch.hpp>
+
+#include "support/process_rig.h"
+
+using namespace whinpost;
+using platform_codec::Cause;
+
+namespace {
+
+// A client is owed a word or a close 3 s after it connects.
+constexpr Nanos kClientLimit = 3 * kSecond;
+// What is over is released 8 s after its end at the latest, whatever is down.
+constexpr Nanos kEndLimit = 8 * kSecond;
+// Of a worker's or the list's word: 1 s.
+constexpr Nanos kWordLimit = kSecond;
+
+bool told_or_closed(SocketPeer& client) {
+    client.read_available();
+    return !client.received.empty() || client.peer_closed || client.was_reset;
+}
+bool released(SocketPeer& client, std::uint64_t id) {
+    client.read_available();
+    return client.count(MessageType::release, id) > 0;
+}
+
+}  // namespace
+
+TEST_CASE("a client that reports a task which its worker does not run is told so or closed in 3 s",
+          "[reports]") {
+    ProcessRig rig;
+    ModelWorker& worker = rig.add_worker("w1");
+    rig.wait_until_ready();
+    SocketPeer genuine = rig.connect_client();
+    worker.run(1);
+    rig.report_running(genuine, worker, 1);
+    std::vector<SocketPeer> others;
+    for (int i = 0; i < 4; ++i) others.push_back(rig.connect_client());
+    rig.report_running(others[0], worker, 100);
+    rig.report_running(others[1], worker, 101, -5);
+    others[2].send_plain(MessageType::health_check, 9);
+    rig.report_running(others[2], worker, 102);
+    rig.report_running(others[3], worker, 1);  // another client's task
+    const Nanos waited = rig.time_until(
+        [&] { return std::all_of(others.begin(), others.end(), told_or_closed) && released(others[2], 102); },
+        kClientLimit);
+    CHECK(waited < kClientLimit);
+    rig.run_for(kSecond);
+    CHECK_FALSE(told_or_closed(genuine));
+    worker.end_task(1, Cause::ok);
+    CHECK(rig.time_until([&] { return released(genuine, 1); }, kWordLimit) < kWordLimit);
+}
+
+TEST_CASE("a task whose worker restarted before it was reported is ended, whenever the list tells it",
+          "[reports]") {
+    ProcessRig rig;
+    ModelWorker& worker = rig.add_worker("w1");
+    rig.wait_until_ready();
+    const bool listed_before = GENERATE(true, false);
+    worker.crash();
+    worker.start_again();
+    if (listed_before) rig.publish(worker);
+    rig.run_for(300 * kMillisecond);
+    SocketPeer client = rig.connect_client();
+    rig.report_running(client, worker, 1);
+    rig.run_for(200 * kMillisecond);
+    if (!listed_before) rig.publish(worker);
+    CHECK(rig.time_until([&] { return released(client, 1); }, kEndLimit) < kEndLimit);
+}
+
+TEST_CASE("a task whose worker is back at once is ended in 8 s though the list is silent", "[restarts]") {
+    ProcessRig rig;
+    ModelWorker& worker = rig.add_worker("w1");
+    rig.wait_until_ready();
+    SocketPeer client = rig.connect_client();
+    rig.place(client, 1);
+    rig.run_for(200 * kMillisecond);
+    rig.discovery.is_silent = true;
+    worker.crash();
+    worker.start_again();
+    CHECK(rig.time_until([&] { return released(client, 1); }, kEndLimit) < kEndLimit);
+}
+
+TEST_CASE("a running task outlives a break of its connection while the list says that its worker goes on",
+          "[kept]") {
+    ProcessRig rig;
+    ModelWorker& worker = rig.add_worker("w1");
+    rig.wait_until_ready();
+    SocketPeer client = rig.connect_client();
+    rig.place(client, 1);
+    worker.reset_connections();
+    for (int i = 0; i < 18; ++i) {
+        rig.run_for(500 * kMillisecond);
+        rig.publish(worker);
+    }
+    CHECK_FALSE(released(client, 1));
+    CHECK(worker.running.contains(1));
+}
+
+TEST_CASE("a report of a task on a worker that no list names is ended", "[reports]") {
+    ProcessRig rig;
+    rig.add_worker("w1");
+    ModelWorker& unlisted = rig.add_worker("w2", false);
+    rig.wait_until_ready();
+    SocketPeer client = rig.connect_client();
+    rig.report_running(client, unlisted, 1);
+    CHECK(rig.time_until([&] { return released(client, 1); }, kClientLimit) < kClientLimit);
+}
+
+TEST_CASE("a task that is reported again under another id ends under both", "[reports]") {
+    ProcessRig rig;
+    ModelWorker& worker = rig.add_worker("w1");
+    rig.wait_until_ready();
+    SocketPeer first = rig.connect_client(), second = rig.connect_client();
+    worker.run(1);
+    rig.report_running(first, worker, 1);
+    rig.run_for(100 * kMillisecond);
+    // The worker speaks of it under the id that it was reported with last.
+    Message again;
+    again.type = MessageType::place_task;
+    again.task = 2;
+    const std::string name = task_name_of(1);
+    again.queue_group = "free";
+    again.time_left_ms = "4294967";
+    again.task_name = name;
+    again.requirements = "cores:1;memory:2;service:00000000b4d65521;at:w1";
+    again.description = "asked";
+    second.send(again);
+    worker.running = {2};
+    worker.on_handed_over(2);
+    rig.run_for(kSecond);
+    worker.end_task(2, Cause::ok);
+    CHECK(rig.time_until([&] { return released(second, 2); }, kWordLimit) < kWordLimit);
+    CHECK(rig.time_until([&] { return released(first, 1); }, kEndLimit) < kEndLimit);
+}
--- a/tests/support/platform_sockets_rig.h
+++ b/tests/support/platform_sockets_rig.h
@@ -59,6 +59,7 @@
         return peer;
     }
     bool is_open() const { return fd_ >= 0; }
+    int descriptor() const { return fd_; }
     void send_bytes(std::string_view bytes) override {
         require(::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()),
                 "send");
--- /dev/null
+++ b/tests/support/process_rig.h
@@ -0,0 +1,278 @@
+// A placer's process on loopback among workers, clients and a discovery service that a test plays, with the
+// faults that real ones have. Real time: a test waits for what has to come, up to a limit far over what it
+// takes.
+#pragma once
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "support/placer_process.h"
+#include "support/platform_sockets_rig.h"
+
+namespace whinpost {
+
+inline Nanos read_clock(clockid_t clock) {
+    timespec time{};
+    clock_gettime(clock, &time);
+    return static_cast<Nanos>(time.tv_sec) * kSecond + time.tv_nsec;
+}
+
+// A worker as the platform's are: accepts what it is sent, reports what its tasks use when they start or are
+// handed to a placer, and says their ends until a connection is there to say them on.
+class ModelWorker {
+public:
+    explicit ModelWorker(std::string worker_name, int port = 0)
+        : name(std::move(worker_name)), listener_(std::make_unique<ListeningSocket>(64, port)),
+          port_(listener_->port()), address_(listener_->address()) {}
+
+    const std::string& address() const { return address_; }
+    // One task that runs there though the placer under test never sent it.
+    void run(std::uint64_t id) { running.insert(id); }
+    // A placer was handed the task: its figures are reported on a connection of that placer.
+    void on_handed_over(std::uint64_t id) { unreported_.insert(id); }
+    void end_task(std::uint64_t id, platform_codec::Cause cause) {
+        running.erase(id);
+        unsent_ends_[id] = cause;
+    }
+    // The process dies: its connections are reset, its tasks are cut, and nothing listens.
+    void crash() {
+        for (const auto& connection : connections_) connection->peer->reset_connection();
+        connections_.clear();
+        if (listener_) listener_->close();
+        listener_.reset();
+        running.clear();
+        unsent_ends_.clear();
+        unreported_.clear();
+    }
+    void start_again() {
+        listener_ = std::make_unique<ListeningSocket>(64, port_);
+        started_at_ms = read_clock(CLOCK_REALTIME) / kMillisecond;
+    }
+    void reset_connections() {
+        for (const auto& connection : connections_) connection->peer->reset_connection();
+        connections_.clear();
+    }
+    // Silent: as if the machine were cut off. Bytes are taken by the kernel and nothing is said.
+    bool is_silent = false;
+    bool answers_attempts = true;
+    bool reports_handed_over = true;
+    std::int64_t started_at_ms = 0;
+    const std::string name;
+    std::set<std::uint64_t> running, cancelled;
+    std::size_t attempts = 0;
+
+    std::size_t connection_count() const { return connections_.size(); }
+    void step() {
+        if (!listener_ || is_silent) return;
+        listener_->accept_and_read();
+        for (std::unique_ptr<SocketPeer>& accepted : listener_->connections)
+            connections_.push_back(std::make_unique<Connection>(Connection{std::move(accepted), 0}));
+        listener_->connections.clear();
+        for (const auto& connection : connections_) serve(*connection);
+        std::erase_if(connections_, [](const auto& connection) {
+            return connection->peer->peer_closed || connection->peer->was_reset;
+        });
+        if (connections_.empty()) return;
+        SocketPeer& any = *connections_.back()->peer;
+        if (reports_handed_over)
+            for (const std::uint64_t id : std::exchange(unreported_, {}))
+                if (running.contains(id)) report_use(any, id);
+        for (const auto& [id, cause] : std::exchange(unsent_ends_, {})) any.release(id, cause);
+    }
+
+private:
+    struct Connection {
+        std::unique_ptr<SocketPeer> peer;
+        std::size_t handled = 0;
+    };
+
+    static void report_use(SocketPeer& peer, std::uint64_t id) {
+        Message note;
+        note.type = MessageType::note;
+        note.task = id;
+        note.detail = "cores";
+        note.metric_value = "0.5";
+        peer.send(note);
+    }
+    void serve(Connection& connection) {
+        connection.peer->read_available();
+        if (connection.peer->peer_closed || connection.peer->was_reset) return;
+        while (connection.handled < connection.peer->received.size()) {
+            const ProtocolPeer::ReceivedMessage message = connection.peer->received[connection.handled++];
+            if (message.type == MessageType::place_task) {
+                ++attempts;
+                if (!answers_attempts) continue;
+                running.insert(message.task);
+                connection.peer->answer(message.task);
+                report_use(*connection.peer, message.task);
+            } else if (message.type == MessageType::release) {
+                cancelled.insert(message.task);
+                if (running.erase(message.task))
+                    connection.peer->release(message.task, platform_codec::Cause::cancelled);
+            } else if (message.type == MessageType::health_check) {
+                Message reply;
+                reply.type = MessageType::health_check_reply;
+                reply.task = message.task;
+                reply.cause = platform_codec::Cause::check_passed;
+                reply.load_report = "x0:8;x1:16";
+                connection.peer->send(reply);
+            }
+        }
+    }
+
+    std::unique_ptr<ListeningSocket> listener_;
+    int port_;
+    std::string address_;
+    std::vector<std::unique_ptr<Connection>> connections_;
+    std::set<std::uint64_t> unreported_;
+    std::map<std::uint64_t, platform_codec::Cause> unsent_ends_;
+};
+
+// The endpoint list, told to whoever watches.
+class ModelDiscovery {
+public:
+    std::string address() const { return listener_.address(); }
+    bool is_silent = false;  // watches stay open and hear nothing
+    void publish(const std::string& entry) {
+        events_.push_back(
+            watch_event(static_cast<std::int64_t>(events_.size()) + 1, {entry}, events_.empty()));
+    }
+    void step() {
+        if (is_silent) return;
+        listener_.accept_and_read();
+        sent_.resize(listener_.connections.size());
+        for (std::size_t i = 0; i < sent_.size(); ++i) {
+            SocketPeer& watch = *listener_.connections[i];
+            if (watch.received_bytes.find("\r\n\r\n") == std::string::npos) continue;
+            if (watch.peer_closed || watch.was_reset || !watch.is_open()) {
+                watch.close();
+                continue;
+            }
+            if (sent_[i].next == 0) greet(watch, sent_[i]);
+            for (; sent_[i].next <= events_.size(); ++sent_[i].next)
+                try_send(watch, events_[sent_[i].next - 1]);
+            if (const Nanos now = read_clock(CLOCK_MONOTONIC); now >= sent_[i].comment_at) {
+                try_send(watch, ": here\n\n");
+                sent_[i].comment_at = now + kSecond;
+            }
+        }
+    }
+
+private:
+    struct Watch {
+        std::size_t next = 0;
+        Nanos comment_at = 0;
+    };
+    static void try_send(SocketPeer& watch, const std::string& bytes) {
+        try {
+            watch.send_bytes(bytes);
+        } catch (const std::runtime_error&) {
+            watch.close();
+        }
+    }
+    static void greet(SocketPeer& watch, Watch& state) {
+        const std::string name = "Last-Event-ID: ";
+        const std::size_t at = watch.received_bytes.find(name);
+        state.next =
+            at == std::string::npos ? 1 : std::stoul(watch.received_bytes.substr(at + name.size())) + 1;
+        try_send(watch, SocketRig::response_head());
+    }
+    ListeningSocket listener_;
+    std::vector<std::string> events_;
+    std::vector<Watch> sent_;
+};
+
+class ProcessRig {
+public:
+    explicit ProcessRig(PlacerProcessOptions options = {}) : port_(ListeningSocket().port()) {
+        options.listen = "127.0.0.1:" + std::to_string(port_);
+        options.discovery = discovery.address();
+        placer = std::make_unique<PlacerProcess>(std::move(options));
+    }
+    // Listed from now on.
+    ModelWorker& add_worker(const std::string& name, bool listed = true) {
+        workers.push_back(std::make_unique<ModelWorker>(name));
+        if (listed) publish(*workers.back());
+        return *workers.back();
+    }
+    void publish(const ModelWorker& worker, const char* state = "active") {
+        discovery.publish(R"({"host":")" + worker.name + R"(","dial":")" + worker.address() +
+                          R"(","site":"a","class":"std","block":1,"health":")" + state +
+                          R"(","share":1,"born_ms":)" + std::to_string(worker.started_at_ms) +
+                          R"(,"free":[16,32]})");
+    }
+    // Until the front's first health check has passed.
+    void wait_until_ready() {
+        run_until("the placer is healthy", [this] {
+            SocketPeer front = try_connect();
+            if (!front.is_open()) return false;
+            front.send_plain(MessageType::health_check, 1);
+            const Nanos give_up = read_clock(CLOCK_MONOTONIC) + kSecond;
+            while (front.received.empty() && read_clock(CLOCK_MONOTONIC) < give_up) {
+                step();
+                front.read_available();
+            }
+            return !front.received.empty() && front.received[0].cause == platform_codec::Cause::check_passed;
+        });
+    }
+    SocketPeer connect_client() {
+        SocketPeer client = try_connect();
+        require(client.is_open(), "the placer accepts a client");
+        return client;
+    }
+    // Null-like where nobody listens.
+    SocketPeer try_connect() {
+        SocketPeer peer(::socket(AF_INET, SOCK_STREAM, 0));
+        const sockaddr_in to = loopback(port_);
+        if (::connect(peer.descriptor(), reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0) return {};
+        return peer;
+    }
+    // A client says that a worker runs its task; the worker hears of it as the platform's do.
+    void report_running(SocketPeer& client, ModelWorker& worker, std::uint64_t id,
+                        int time_left_ms = 4'294'967) {
+        client.send_bytes(place_task_bytes(id, "free", time_left_ms, ";at:" + worker.name));
+        worker.on_handed_over(id);
+    }
+    // The client's task, placed by the placer itself.
+    void place(SocketPeer& client, std::uint64_t id) {
+        client.send_bytes(place_task_bytes(id, "free", 5000, ""));
+        run_until("a task is placed", [&] {
+            client.read_available();
+            return client.count(MessageType::answer, id) == 1;
+        });
+    }
+    void step() {
+        discovery.step();
+        for (const auto& worker : workers) worker->step();
+        usleep(500);
+    }
+    void run_for(Nanos by) {
+        for (const Nanos until = read_clock(CLOCK_MONOTONIC) + by; read_clock(CLOCK_MONOTONIC) < until;)
+            step();
+    }
+    void run_until(const std::string& what, const std::function<bool()>& holds, Nanos limit = 20 * kSecond) {
+        const Nanos give_up = read_clock(CLOCK_MONOTONIC) + limit;
+        while (!holds()) {
+            if (read_clock(CLOCK_MONOTONIC) > give_up) throw std::runtime_error("did not come: " + what);
+            step();
+        }
+    }
+    // How long it took; the limit where it did not come.
+    Nanos time_until(const std::function<bool()>& holds, Nanos limit) {
+        const Nanos began = read_clock(CLOCK_MONOTONIC);
+        while (!holds() && read_clock(CLOCK_MONOTONIC) - began < limit) step();
+        return std::min(limit, read_clock(CLOCK_MONOTONIC) - began);
+    }
+
+    ModelDiscovery discovery;
+    std::vector<std::unique_ptr<ModelWorker>> workers;
+    std::unique_ptr<PlacerProcess> placer;
+
+private:
+    int port_;
+};
+
+}  // namespace whinpost
--- /dev/null
+++ b/tests/system_call_faults_test.cpp
@@ -0,0 +1,148 @@
+// The placer as a process of its own, whose system calls fail in turn and whose wall clock is stepped.
+#include <catch2/catch.hpp>
+#include <cerrno>
+
+#include "support/fault_shim.h"
+#include "support/process_rig.h"
+
+using namespace whinpost;
+using platform_codec::Cause;
+
+namespace {
+
+constexpr Nanos kWordLimit = kSecond;
+
+struct ShimmedRig {
+    FaultShim shim;
+    ProcessRig rig{options(shim)};
+
+    static PlacerProcessOptions options(const FaultShim& shim) {
+        PlacerProcessOptions options;
+        options.environment = {shim.variable(), std::string("LD_PRELOAD=") + WHINPOST_FAULT_SHIM,
+                               "ASAN_OPTIONS=verify_asan_link_order=0"};
+        return options;
+    }
+};
+
+bool released(SocketPeer& client, std::uint64_t id) {
+    client.read_available();
+    return client.count(MessageType::release, id) > 0;
+}
+
+}  // namespace
+
+TEST_CASE("a step of the wall clock ends no running task, and hides no restart of a worker", "[clock]") {
+    ShimmedRig shimmed;
+    ProcessRig& rig = shimmed.rig;
+    ModelWorker& worker = rig.add_worker("w1");
+    ModelWorker& steady = rig.add_worker("w2");
+    rig.wait_until_ready();
+    SocketPeer client = rig.connect_client();
+    worker.run(1);
+    steady.run(2);
+    rig.report_running(client, worker, 1);
+    rig.report_running(client, steady, 2);
+    rig.run_for(200 * kMillisecond);
+    const Nanos step = GENERATE(-3600 * kSecond, -5 * kSecond, 5 * kSecond, 3600 * kSecond);
+    shimmed.shim.step_wall_clock(step);
+    rig.run_for(200 * kMillisecond);
+    // The machine's clock is the worker's too.
+    worker.crash();
+    worker.start_again();
+    worker.started_at_ms += step / kMillisecond;
+    rig.publish(worker);
+    CHECK(rig.time_until([&] { return released(client, 1); }, kWordLimit) < kWordLimit);
+    // A task that starts after the step is younger than its worker.
+    SocketPeer other = rig.connect_client();
+    rig.place(other, 3);
+    rig.publish(worker);
+    rig.publish(steady);
+    rig.run_for(500 * kMillisecond);
+    CHECK_FALSE(released(other, 3));
+    CHECK_FALSE(released(client, 2));
+}
+
+TEST_CASE("accepting goes on after each error that passes, also while the process ends", "[accept]") {
+    const int error =
+        GENERATE(ECONNABORTED, EINTR, EPROTO, ENETDOWN, EHOSTUNREACH, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPERM);
+    const bool ending = GENERATE(false, true);
+    CAPTURE(error, ending);
+    ShimmedRig shimmed;
+    ProcessRig& rig = shimmed.rig;
+    rig.wait_until_ready();
+    shimmed.shim.fail(ShimmedCall::accept4, error, 3);
+    std::vector<SocketPeer> clients;
+    if (ending) {
+        // What comes while the process is stopped lies in the backlog when it goes on.
+        rig.placer->kill(SIGTERM);
+        rig.run_for(300 * kMillisecond);
+        rig.placer->kill(SIGSTOP);
+    }
+    for (std::uint64_t id = 1; id <= 5; ++id) {
+        clients.push_back(rig.connect_client());
+        clients.back().send_bytes(place_task_bytes(id, "free", 400, ""));
+    }
+    if (ending) {
+        rig.run_for(kSecond);
+        rig.placer->kill(SIGCONT);
+    }
+    const auto all_answered = [&] {
+        bool all = true;
+        for (std::size_t i = 0; i < clients.size(); ++i) all = released(clients[i], i + 1) && all;
+        return all;
+    };
+    CHECK(rig.time_until(all_answered, 3 * kSecond) < 3 * kSecond);
+    for (const SocketPeer& client : clients) CHECK_FALSE(client.was_reset);
+}
+
+TEST_CASE("a dial that fails for a reason of this machine ends no running task", "[dial]") {
+    struct Fault {
+        ShimmedCall call;
+        int error;
+    };
+    const Fault fault = GENERATE(
+        Fault{ShimmedCall::socket, ENOBUFS}, Fault{ShimmedCall::socket, ENFILE},
+        Fault{ShimmedCall::connect, EADDRNOTAVAIL}, Fault{ShimmedCall::connect, ENETUNREACH},
+        Fault{ShimmedCall::connect, EAGAIN}, Fault{ShimmedCall::connect_result, ETIMEDOUT},
+        Fault{ShimmedCall::connect_result, EHOSTUNREACH}, Fault{ShimmedCall::connect_result, ENETUNREACH});
+    CAPTURE(static_cast<int>(fault.call), fault.error);
+    ShimmedRig shimmed;
+    ProcessRig& rig = shimmed.rig;
+    ModelWorker& worker = rig.add_worker("w1");
+    rig.wait_until_ready();
+    SocketPeer client = rig.connect_client();
+    rig.place(client, 1);
+    shimmed.shim.fail(fault.call, fault.error, 6);
+    worker.reset_connections();
+    rig.time_until([&] { return shimmed.shim.hits(fault.call) >= 6; }, 6 * kSecond);
+    shimmed.shim.fail(fault.call, 0, 0);
+    CHECK(shimmed.shim.hits(fault.call) >= 3);
+    CHECK(rig.time_until([&] { return worker.connection_count() > 0; }, 3 * kSecond) < 3 * kSecond);
+    CHECK_FALSE(released(client, 1));
+    worker.end_task(1, Cause::ok);
+    CHECK(rig.time_until([&] { return released(client, 1); }, kWordLimit) < kWordLimit);
+}
+
+TEST_CASE("interrupted waits and short reads and writes change nothing", "[short]") {
+    ShimmedRig shimmed;
+    ProcessRig& rig = shimmed.rig;
+    rig.add_worker("w1");
+    rig.wait_until_ready();
+    struct Fault {
+        ShimmedCall call;
+        int error;
+    };
+    for (const Fault fault :
+         {Fault{ShimmedCall::epoll_wait, EINTR}, Fault{ShimmedCall::readv, 0},
+          Fault{ShimmedCall::readv, EINTR}, Fault{ShimmedCall::readv, EAGAIN}, Fault{ShimmedCall::writev, 0},
+          Fault{ShimmedCall::writev, EINTR}, Fault{ShimmedCall::send, 0}, Fault{ShimmedCall::send, EINTR},
+          Fault{ShimmedCall::send, ENOBUFS}}) {
+        CAPTURE(static_cast<int>(fault.call), fault.error);
+        static std::uint64_t id = 10;
+        SocketPeer client = rig.connect_client();
+        shimmed.shim.fail(fault.call, fault.error, 30);
+        rig.place(client, ++id);
+        shimmed.shim.fail(fault.call, 0, 0);
+        CHECK_FALSE(released(client, id));
+    }
+}
