Stepped clocks, errors of accept, and dials that fail here end nothing that runs

UnixClock keeps the periods between steps; a start is translated once, when it is told, and a restart is told by another start, not by a later one. - accept_pending() stopped at any error: one ECONNABORTED, EINTR or EPROTO while draining reset the rest of the backlog. It goes on, and where descriptors or memory are short the drain keeps the listener and tries again. - Every failed connect counted as refused, three of them as a dead worker: ENOBUFS, EADDRNOTAVAIL, ENETUNREACH, EAGAIN and a reset right after the handshake ended tasks that ran on.

--- a/simulation/simulated_process.cpp
+++ b/simulation/simulated_process.cpp
@@ -30,7 +30,7 @@
     stream->connecting_ = true;
     const StreamHandle near = stream->self_;
     if (descriptors_left_ < 0) {
-        fail_dial(near, network_.now_, net::CloseReason::out_of_descriptors);
+        fail_dial(near, network_.now_, net::CloseReason::out_of_resources);
         return stream;
     }
     const SimulatedListener* listener = network_.find_listener(address);
--- a/simulation/simulated_process.h
+++ b/simulation/simulated_process.h
@@ -1,5 +1,6 @@
 // A process in virtual time: an event loop of its own on a host of the simulated network.
 #pragma once
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -19,6 +20,7 @@
     SimulatedProcess(SimulatedNetwork&, std::string host, int zone);
 
     Nanos now() const override;
+    Nanos from_unix_time(Nanos unix_time) const override { return std::min(unix_time, now()); }
     Nanos polled_at() const override { return unseen_since(); }
     Nanos unseen_since() const override;
     [[nodiscard]] net::ListenResult listen(const std::string& address, net::AcceptHandler) override;
--- a/simulation/simulated_stream.h
+++ b/simulation/simulated_stream.h
@@ -77,7 +77,7 @@
     SimulatedListener& operator=(const SimulatedListener&) = delete;
 
     std::string address() const override { return address_; }
-    void accept_pending() override {}  // each connection is handed on as it arrives
+    bool accept_pending() override { return true; }  // each connection is handed on as it arrives
 
 private:
     friend class SimulatedProcess;
--- a/src/net/libevent_listener.cpp
+++ b/src/net/libevent_listener.cpp
@@ -12,11 +12,14 @@
 #include "net/libevent_stream.h"
 #include "net/libevent_timer.h"
 #include "net/socket_address.h"
+#include "net/socket_error.h"
 
 namespace whinpost::net {
 
 namespace {
 constexpr int kBacklog = 1024;
+// As many as may wait: an error that lasts must not keep the loop for good.
+constexpr int kMaxAcceptFailures = kBacklog;
 // How long nothing is accepted after the process has run out of file descriptors.
 constexpr Nanos kAcceptErrorPause = 50 * kMillisecond;
 }  // namespace
@@ -55,13 +58,21 @@
     return to_string(local);
 }
 
-void LibeventListener::accept_pending() {
-    for (;;) {
+// An error that is not for want of resources belongs to one connection, or to one call: accept(2) passes on
+// what went wrong with a connection that waited, and the ones behind it are as good as before.
+bool LibeventListener::accept_pending() {
+    for (int failures = 0; failures < kMaxAcceptFailures;) {
         const evutil_socket_t descriptor =
             accept4(evconnlistener_get_fd(listener_), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (descriptor < 0) return;
-        handler_(std::make_unique<LibeventStream>(loop_, descriptor));
+        if (descriptor >= 0) {
+            handler_(std::make_unique<LibeventStream>(loop_, descriptor));
+            continue;
+        }
+        if (errno == EAGAIN || errno == EWOULDBLOCK) return true;
+        if (is_resource_shortage(errno)) return false;
+        ++failures;
     }
+    return false;
 }
 
 void LibeventListener::on_accept(evconnlistener*, evutil_socket_t descriptor, sockaddr*, int, void* self) {
--- a/src/net/libevent_listener.h
+++ b/src/net/libevent_listener.h
@@ -24,7 +24,7 @@
     LibeventListener& operator=(const LibeventListener&) = delete;
 
     std::string address() const override;
-    void accept_pending() override;
+    bool accept_pending() override;
 
 private:
     LibeventListener(LibeventLoop&, AcceptHandler);
--- a/src/net/libevent_loop.cpp
+++ b/src/net/libevent_loop.cpp
@@ -25,6 +25,9 @@
     return static_cast<Nanos>(time.tv_sec) * kSecond + time.tv_nsec;
 }
 
+// The time of day less the monotonic clock.
+Nanos read_clock_offset() { return read_clock(CLOCK_REALTIME) - read_clock(CLOCK_MONOTONIC); }
+
 event_base* make_event_base() {
     event_config* config = event_config_new();
     event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
@@ -49,7 +52,7 @@
     event* source = nullptr;
 };
 
-LibeventLoop::LibeventLoop() : clock_offset_(read_clock(CLOCK_REALTIME) - read_clock(CLOCK_MONOTONIC)) {
+LibeventLoop::LibeventLoop() : unix_clock_(read_clock(CLOCK_MONOTONIC), read_clock_offset()) {
     std::signal(SIGPIPE, SIG_IGN);
     base_ = make_event_base();
     const auto on_flush = [](evutil_socket_t, short, void* self) {
@@ -66,7 +69,16 @@
     event_base_free(base_);
 }
 
-Nanos LibeventLoop::now() const { return read_clock(CLOCK_MONOTONIC) + clock_offset_; }
+Nanos LibeventLoop::now() const { return read_clock(CLOCK_MONOTONIC) + unix_clock_.initial_offset(); }
+
+Nanos LibeventLoop::from_unix_time(Nanos unix_time) const {
+    const Nanos steady = unix_clock_.to_steady(unix_time, read_clock(CLOCK_MONOTONIC));
+    return steady + unix_clock_.initial_offset();
+}
+
+void LibeventLoop::update_unix_clock() {
+    unix_clock_.update(read_clock(CLOCK_MONOTONIC), read_clock_offset());
+}
 
 Nanos LibeventLoop::unseen_since() const {
     return polled_at_ - poll_began_at_ >= kBlockingPoll ? polled_at_ : previous_poll_at_;
@@ -104,7 +116,9 @@
 }
 
 void LibeventLoop::on_callback() {
-    if (!std::exchange(callback_ran_, true)) polled_at_ = now();
+    if (std::exchange(callback_ran_, true)) return;
+    polled_at_ = now();
+    update_unix_clock();
 }
 
 void LibeventLoop::flush_after_pass(LibeventStream& stream) {
--- a/src/net/libevent_loop.h
+++ b/src/net/libevent_loop.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "net/stream.h"
+#include "net/unix_clock.h"
 
 struct event_base;
 struct event;
@@ -23,6 +24,7 @@
     LibeventLoop& operator=(const LibeventLoop&) = delete;
 
     Nanos now() const override;
+    Nanos from_unix_time(Nanos unix_time) const override;
     Nanos polled_at() const override { return polled_at_; }
     Nanos unseen_since() const override;
     [[nodiscard]] ListenResult listen(const std::string& address, AcceptHandler) override;
@@ -50,13 +52,14 @@
 private:
     struct Signal;
     void flush_streams();
+    void update_unix_clock();
 
     event_base* base_;
     event* flush_event_ = nullptr;
     std::vector<LibeventStream*> to_flush_, flushing_;  // null: destroyed meanwhile
-    // From the monotonic clock to the time of day, read once: all placers of a fleet cut the time into the
+    // now() is the monotonic clock plus the offset of the start: all placers of a fleet cut the time into the
     // same periods, and a clock that is set later moves nothing.
-    Nanos clock_offset_;
+    UnixClock unix_clock_;
     std::vector<std::unique_ptr<Signal>> signals_;
     bool stopping_ = false;
     bool callback_ran_ = false;  // in this pass
--- a/src/net/libevent_stream.cpp
+++ b/src/net/libevent_stream.cpp
@@ -15,6 +15,7 @@
 
 #include "net/libevent_loop.h"
 #include "net/socket_address.h"
+#include "net/socket_error.h"
 
 namespace whinpost::net {
 
@@ -29,8 +30,8 @@
     if (destroyed_) *destroyed_ = true;
     loop_.cancel_flush(*this);
     // What the kernel takes now still goes out.
-    if (!pending_.empty() && state_ != State::aborted) send_pending();
-    if (connect_failure_event_) event_free(connect_failure_event_);
+    if (!pending_.empty() && state_ == State::established) send_pending();
+    close_connecting();
     bufferevent_free(bufferevent_);
 }
 
@@ -38,39 +39,69 @@
     handler_ = &handler;
     bufferevent_setcb(bufferevent_, &on_read, &on_write, &on_event, this);
     bufferevent_setwatermark(bufferevent_, EV_READ, 0, kMaxFrameSize + 4 + kMaxReadSize);
-    bufferevent_enable(bufferevent_, EV_READ | EV_WRITE);
+    if (state_ == State::established) bufferevent_enable(bufferevent_, EV_READ | EV_WRITE);
 }
 
+// Without the bufferevent's own connect, which does not tell a refusal from what went wrong on this side.
 void LibeventStream::connect(const std::string& address) {
     state_ = State::connecting;
     std::optional<SocketAddress> to = parse_socket_address(address);
-    if (to && bufferevent_socket_connect(bufferevent_, to->get(), static_cast<int>(to->length)) == 0) {
-        disable_nagle();
-        return;
-    }
-    const bool no_descriptor = errno == EMFILE || errno == ENFILE;
-    report_connect_failure(no_descriptor ? CloseReason::out_of_descriptors : CloseReason::refused);
+    if (!to) return report_connect_failure(EINVAL);
+    connecting_ = socket(to->get()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (connecting_ < 0) return report_connect_failure(errno);
+    const bool failed = ::connect(connecting_, to->get(), to->length) != 0;
+    if (failed && errno != EINPROGRESS && errno != EINTR) return report_connect_failure(errno);
+    const auto on_writable = [](evutil_socket_t, short, void* self) {
+        auto* stream = static_cast<LibeventStream*>(self);
+        stream->loop_.on_callback();
+        stream->on_connect_finished();
+    };
+    connect_event_ = event_new(loop_.base(), connecting_, EV_WRITE, on_writable, this);
+    event_add(connect_event_, nullptr);
 }
 
-void LibeventStream::report_connect_failure(CloseReason reason) {
-    connect_failure_ = reason;
+void LibeventStream::on_connect_finished() {
+    int error = 0;
+    socklen_t length = sizeof error;
+    if (getsockopt(connecting_, SOL_SOCKET, SO_ERROR, &error, &length) != 0) error = errno;
+    if (error != 0) return handler_->on_closed(connect_failure(error));  // may destroy this
+    state_ = State::established;
+    bufferevent_setfd(bufferevent_, std::exchange(connecting_, -1));
+    bufferevent_enable(bufferevent_, EV_READ | EV_WRITE);
+    disable_nagle();
+    if (!pending_.empty()) loop_.flush_after_pass(*this);
+    handler_->on_connected();
+}
+
+void LibeventStream::report_connect_failure(int error) {
+    connect_failure_ = connect_failure(error);
     const auto on_timeout = [](evutil_socket_t, short, void* self) {
         auto* stream = static_cast<LibeventStream*>(self);
         stream->loop_.on_callback();
         stream->handler_->on_closed(stream->connect_failure_);
     };
-    connect_failure_event_ = event_new(loop_.base(), -1, EV_TIMEOUT, on_timeout, this);
+    connect_event_ = event_new(loop_.base(), -1, EV_TIMEOUT, on_timeout, this);
     const timeval at_once{};
-    event_add(connect_failure_event_, &at_once);
+    event_add(connect_event_, &at_once);
+}
+
+// Only while connecting, or where that failed.
+void LibeventStream::close_connecting() {
+    if (connect_event_) event_free(std::exchange(connect_event_, nullptr));
+    if (connecting_ >= 0) evutil_closesocket(std::exchange(connecting_, -1));
 }
 
 // What is written in one pass leaves in one call at its end. Left to the bufferevent alone, each write would
 // cost two more system calls to change what is waited for, and another pass of the loop; the bufferevent is
 // used only where the kernel takes no more.
 void LibeventStream::write(std::string_view bytes) {
-    if (write_shut_down_) return;
+    if (write_shut_down_ || state_ == State::aborted) return;
     written_ += bytes.size();
-    if (state_ != State::established || evbuffer_get_length(bufferevent_get_output(bufferevent_)) > 0) {
+    if (state_ == State::connecting) {
+        pending_ += bytes;
+        return;
+    }
+    if (evbuffer_get_length(bufferevent_get_output(bufferevent_)) > 0) {
         bufferevent_write(bufferevent_, bytes.data(), bytes.size());
         return;
     }
@@ -117,6 +148,7 @@
 
 void LibeventStream::abort() {
     state_ = State::aborted;
+    close_connecting();
     const evutil_socket_t descriptor = bufferevent_getfd(bufferevent_);
     const linger discard_at_once{1, 0};
     if (descriptor >= 0)
@@ -168,7 +200,6 @@
 void LibeventStream::on_write(bufferevent*, void* self) {
     auto* stream = static_cast<LibeventStream*>(self);
     stream->loop_.on_callback();
-    if (stream->state_ == State::connecting) return;
     if (stream->write_shut_down_) stream->shutdown_socket();
     stream->handler_->on_drained();
 }
@@ -176,13 +207,6 @@
 void LibeventStream::on_event(bufferevent*, short events, void* self) {
     auto* stream = static_cast<LibeventStream*>(self);
     stream->loop_.on_callback();
-    if (events & BEV_EVENT_CONNECTED) {
-        stream->state_ = State::established;
-        stream->disable_nagle();
-        stream->handler_->on_connected();
-        return;
-    }
-    if (stream->state_ == State::connecting) return stream->handler_->on_closed(CloseReason::refused);
     if (events & BEV_EVENT_EOF) return stream->handler_->on_closed(CloseReason::by_peer);
     if (events & (BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) stream->handler_->on_closed(CloseReason::reset);
 }
--- a/src/net/libevent_stream.h
+++ b/src/net/libevent_stream.h
@@ -46,7 +46,9 @@
     void shutdown_socket();
     void send_pending();
     void disable_nagle();
-    void report_connect_failure(CloseReason);
+    void report_connect_failure(int error);
+    void on_connect_finished();
+    void close_connecting();
     static void on_read(bufferevent*, void* self);
     static void on_write(bufferevent*, void* self);
     static void on_event(bufferevent*, short events, void* self);
@@ -56,9 +58,13 @@
     StreamHandler* handler_ = nullptr;
     State state_ = State::established;
     bool write_shut_down_ = false;
-    std::string pending_;  // written in this pass, and not handed to the kernel or the bufferevent yet
+    // Written in this pass or before the connection was up, and not handed to the kernel or the bufferevent
+    // yet.
+    std::string pending_;
     std::uint64_t written_ = 0;
-    event* connect_failure_event_ = nullptr;
+    // While connecting: the socket, which the bufferevent gets once it is up, and what waits for it.
+    evutil_socket_t connecting_ = -1;
+    event* connect_event_ = nullptr;
     CloseReason connect_failure_ = CloseReason::refused;
     bool* destroyed_ = nullptr;  // points into on_read() while the handler is called
 };
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -9,9 +9,11 @@
         case CloseReason::reset:
             return "broken off";
         case CloseReason::refused:
-            return "not connected";
-        case CloseReason::out_of_descriptors:
-            return "no file descriptor left";
+            return "refused";
+        case CloseReason::unreachable:
+            return "not reached";
+        case CloseReason::out_of_resources:
+            return "no descriptor, port or memory left";
     }
     return "unknown";
 }
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -17,10 +17,12 @@
 namespace whinpost::net {
 
 enum class CloseReason {
-    by_peer,            // the peer closed it, and all that it sent was read
-    reset,              // broken off
-    refused,            // the connection was never established
-    out_of_descriptors  // the same, because this process has no file descriptor left
+    by_peer,  // the peer closed it, and all that it sent was read
+    reset,    // broken off
+    refused,  // never established: no process listens at the address
+    // Never established, and nothing is known of the peer: it gave no answer, or there is no way to it.
+    unreachable,
+    out_of_resources  // never established: this machine lacks a file descriptor, a port or memory for it
 };
 std::string_view to_string(CloseReason);
 
@@ -65,8 +67,9 @@
 public:
     virtual ~Listener() = default;
     virtual std::string address() const = 0;  // the one really listened on, with its port
-    // Calls the handler, within this call, for each connection that the kernel has accepted already.
-    virtual void accept_pending() = 0;
+    // Calls the handler, within this call, for each connection that the kernel has accepted already. False
+    // where some may be left, for want of resources: to be called again later.
+    [[nodiscard]] virtual bool accept_pending() = 0;
 };
 
 // Why an address can't be listened on.
@@ -83,7 +86,8 @@
 class Timer {
 public:
     virtual ~Timer() = default;
-    virtual void arm(Nanos at) = 0;  // replaces an earlier deadline
+    // Replaces an earlier deadline. The callback is never called before it.
+    virtual void arm(Nanos at) = 0;
     virtual void disarm() = 0;
 };
 
@@ -91,6 +95,9 @@
 public:
     virtual ~EventLoop() = default;
     virtual Nanos now() const = 0;  // never goes backwards
+    // The moment on this loop's clock at which the time of day was `unix_time`, whatever steps the system's
+    // clock has made since the start; now() at the latest.
+    virtual Nanos from_unix_time(Nanos unix_time) const = 0;
     // When this pass of the loop polled the kernel: what has come since then is not known yet.
     virtual Nanos polled_at() const = 0;
     // What is read in this pass arrived no earlier than this. It is the time of the pass's own poll if that
--- a/src/platform/client_server.cpp
+++ b/src/platform/client_server.cpp
@@ -152,16 +152,13 @@
 }
 
 bool ClientServer::drain(Nanos now, Nanos deadline) {
-    if (listener_) {
-        listener_->accept_pending();
-        listener_.reset();
-    }
+    if (listener_ && (listener_->accept_pending() || now >= deadline)) listener_.reset();
     std::vector<ClientConnection*> idle;
     for (const auto& client : clients_)
         if (!client->open_requests_ && !client->stream_->has_unread()) idle.push_back(client.get());
     for (ClientConnection* client : idle) client->end(ClientCloseReason::draining);
     sweep(now);
-    return now >= deadline || (clients_.empty() && ended_.empty());
+    return now >= deadline || (!listener_ && clients_.empty() && ended_.empty());
 }
 
 }  // namespace whinpost::platform
--- a/src/platform/endpoint_list.cpp
+++ b/src/platform/endpoint_list.cpp
@@ -14,7 +14,6 @@
     if (update.kind) state.kind = *update.kind;
     if (update.cell) state.cell = *update.cell;
     if (update.phase) state.phase = *update.phase;
-    if (update.started_at) state.started_at = *update.started_at;
     if (update.free_cores) state.free_cores = *update.free_cores;
     if (update.free_memory) state.free_memory = *update.free_memory;
 }
@@ -27,9 +26,20 @@
     pool_.share_connections(listed_);
 }
 
+// True where the worker has started again. It is another start that tells so and not a later one: the clock
+// that it is told on may have been set back meanwhile.
+bool EndpointList::apply_start(Endpoint& endpoint, const discovery::EndpointUpdate& update) const {
+    if (!update.started_at || *update.started_at == endpoint.told_start) return false;
+    endpoint.told_start = *update.started_at;
+    if (endpoint.told_start == 0) return false;
+    const Nanos before = endpoint.state.started_at;
+    endpoint.state.started_at = std::max(before + 1, loop_.from_unix_time(endpoint.told_start));
+    return true;
+}
+
 void EndpointList::update(Nanos now, const discovery::EndpointUpdate& update, planner::Planner& planner) {
     Endpoint& endpoint = endpoints_[update.worker];
-    const Nanos started_before = endpoint.state.started_at;
+    const bool restarted = apply_start(endpoint, update);
     const bool was_listed = endpoint.is_listed();
     if (update.address) endpoint.address = *update.address;
     merge(endpoint.state, update);
@@ -45,7 +55,7 @@
     planner.on_endpoint(now, endpoint.worker->number(), stable_hash(update.worker), endpoint.state);
     // Guards against a worker that is back before anybody missed it: it answers, so it is not lost, and knows
     // nothing of what ran there.
-    if (endpoint.state.started_at > started_before) endpoint.worker->on_restarted(endpoint.state.started_at);
+    if (restarted) endpoint.worker->on_restarted(endpoint.state.started_at);
 }
 
 void EndpointList::remove_unnamed(Nanos now, const discovery::WatchEvent& snapshot) {
--- a/src/platform/endpoint_list.h
+++ b/src/platform/endpoint_list.h
@@ -6,6 +6,7 @@
 
 #include "discovery/event_stream.h"
 #include "ledger/ledger.h"
+#include "net/stream.h"
 #include "planner/planner.h"
 #include "platform/worker_pool.h"
 
@@ -14,13 +15,15 @@
 // Applies each change to the worker pool, the ledger and the planner, in this order.
 class EndpointList {
 public:
-    EndpointList(WorkerPool& pool, ledger::Ledger& ledger) : pool_(pool), ledger_(ledger) {}
+    EndpointList(const net::EventLoop& loop, WorkerPool& pool, ledger::Ledger& ledger)
+        : loop_(loop), pool_(pool), ledger_(ledger) {}
 
     struct Endpoint {
         PooledWorker* worker = nullptr;  // null until its address is known
         ledger::WorkerRecord* record = nullptr;
         std::string address;
-        EndpointState state;
+        EndpointState state;   // its start on the loop's clock
+        Nanos told_start = 0;  // the same as it was told: Unix time
         bool is_listed() const { return worker && state.phase != EndpointPhase::gone; }
     };
 
@@ -29,9 +32,11 @@
     const Endpoint* find(std::string_view worker_name) const;
 
 private:
+    bool apply_start(Endpoint&, const discovery::EndpointUpdate&) const;
     void update(Nanos now, const discovery::EndpointUpdate&, planner::Planner&);
     void remove_unnamed(Nanos now, const discovery::WatchEvent& snapshot);
 
+    const net::EventLoop& loop_;
     WorkerPool& pool_;
     ledger::Ledger& ledger_;
     std::map<std::string, Endpoint, std::less<>> endpoints_;
--- a/src/platform/worker_connection.cpp
+++ b/src/platform/worker_connection.cpp
@@ -370,8 +370,8 @@
                   {"running_tasks", worker_.running_.size()},
                   {"refused_dials", worker_.refused_dials_},
                   {"attempts", in_flight_.size()}});
-    // A descriptor that this process lacks says nothing about the worker.
-    if (reason == net::CloseReason::out_of_descriptors) worker_.last_received_ = worker_.loop_.now();
+    // What this machine lacks says nothing about the worker.
+    if (reason == net::CloseReason::out_of_resources) worker_.last_received_ = worker_.loop_.now();
     on_connection_lost(!is_up() && reason == net::CloseReason::refused);
 }
 
--- a/tests/endpoint_list_test.cpp
+++ b/tests/endpoint_list_test.cpp
@@ -51,7 +51,7 @@
     ledger::Ledger ledger{{}, {4, true}, {0.25, 10 * kSecond, 3, 2 * kSecond, 40, 3, 0}};
     std::vector<std::pair<planner::WorkerNumber, EndpointState>> told;
     platform::WorkerPool pool{process, log, *this, *this, {kSecond, 15 * kSecond, 12, 5}};
-    platform::EndpointList list{pool, ledger};
+    platform::EndpointList list{process, pool, ledger};
 };
 
 }  // namespace
--- a/tests/support/process_rig.h
+++ b/tests/support/process_rig.h
@@ -256,7 +256,8 @@
     void run_until(const std::string& what, const std::function<bool()>& holds, Nanos limit = 20 * kSecond) {
         const Nanos give_up = read_clock(CLOCK_MONOTONIC) + limit;
         while (!holds()) {
-            if (read_clock(CLOCK_MONOTONIC) > give_up) throw std::runtime_error("did not come: " + what);
+            if (read_clock(CLOCK_MONOTONIC) > give_up)
+                throw std::runtime_error("did not come: " + what + "\n" + placer->log());
             step();
         }
     }
