Twins of the fault: superseded adoptions, clients that never greet, half-written configurations

A client that never greets held a place for good; told so and closed after 5 s. - SIGHUP while the file is half written, or can't be read for a moment, left the placer at an address that discovery gives up; no second signal comes. It is read again 20 times, 0.2 s apart. Checked in the own server and left: adoptions are asked of the worker, which answers; restarts show by the incarnation in the greeting; reports on unlisted workers end by a younger list or after 60 s; starts are told as ages, so steps of the clock do not reach it. New cases: one each in server_recovery, server_clients and process_faults (the latter two fail without the change by construction: no timer, no retry).

--- a/apps/platform.cpp
+++ b/apps/platform.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -66,15 +67,44 @@
     Prices prices;
 };
 
-// A file that is wrong changes nothing.
-void reload(const std::string& path, platform::DiscoveryWatch& watch, const log::Logger& log) {
-    try {
-        watch.move_to(platform::BootstrapConfig::read(path).discovery_address());
-        log(log::Level::info, "config_reloaded", {{"file", path}});
-    } catch (const std::exception& error) {
-        log(log::Level::error, "config_reload_failed", {{"reason", error.what()}});
+// Reads the file again on SIGHUP. One that is wrong changes nothing. It may be half written at that moment,
+// or its reading fail for a while, and no second signal comes: so it is tried again some times.
+class ConfigReloader {
+public:
+    ConfigReloader(net::EventLoop& loop, std::string path, platform::DiscoveryWatch& watch,
+                   const log::Logger& log)
+        : loop_(loop), path_(std::move(path)), watch_(watch), log_(log),
+          retry_timer_(loop.make_timer([this] { read(); })) {}
+
+    void on_signal() {
+        tries_left_ = kTries;
+        read();
     }
-}
+
+private:
+    static constexpr int kTries = 20;
+    static constexpr Nanos kRetryInterval = 200 * kMillisecond;
+
+    void read() {
+        --tries_left_;
+        try {
+            watch_.move_to(platform::BootstrapConfig::read(path_).discovery_address());
+            log_(log::Level::info, "config_reloaded", {{"file", path_}});
+            retry_timer_->disarm();
+        } catch (const std::exception& error) {
+            log_(log::Level::error, "config_reload_failed",
+                 {{"reason", error.what()}, {"tries_left", tries_left_}});
+            if (tries_left_ > 0) retry_timer_->arm(loop_.now() + kRetryInterval);
+        }
+    }
+
+    net::EventLoop& loop_;
+    const std::string path_;
+    platform::DiscoveryWatch& watch_;
+    const log::Logger& log_;
+    std::unique_ptr<net::Timer> retry_timer_;
+    int tries_left_ = 0;
+};
 
 int serve(log::Level level) {
     const std::string path = required_variable("GW_CONFIG");
@@ -93,7 +123,8 @@
     for (const std::string& event : config->initial_events())
         server.discovery_watch().apply_initial_event(event);
     // Before it listens: a signal that comes once clients connect would else kill it over what they wrote.
-    loop.on_signal(SIGHUP, [&] { reload(path, server.discovery_watch(), log); });
+    ConfigReloader reloader(loop, path, server.discovery_watch(), log);
+    loop.on_signal(SIGHUP, [&reloader] { reloader.on_signal(); });
     const auto drain = [&] { server.drain([&loop] { loop.stop(); }); };
     loop.on_signal(SIGTERM, drain);
     loop.on_signal(SIGINT, drain);
--- a/src/server/attempt_controller.h
+++ b/src/server/attempt_controller.h
@@ -45,6 +45,9 @@
     // The same, later, of the attempt of that number if it still exists: a round may be under way.
     void defer_end(std::uint64_t attempt, AttemptOutcome);
     // The time of the attempt in flight is up, if it was not accepted.
+    // The worker speaks of a running task under the number of its latest adoption alone: earlier ones end
+    // here.
+    void supersede(WorkerPeer&, std::string_view task_key);
     void on_deadline(InFlightTask&);
     // Its client cancels the task: the attempt in flight is withdrawn if it was not sent, else cancelled at
     // its worker.
--- a/src/server/client_connection.cpp
+++ b/src/server/client_connection.cpp
@@ -15,10 +15,15 @@
 // within its limit of waiting tasks unless it has not read for very long.
 constexpr std::size_t kEvictAt = 4 << 20;
 constexpr std::size_t kMaxMessageSize = 64 << 10;  // a request is some hundred bytes
+// A client greets as soon as it is connected. One that never does would hold one of the places for clients.
+constexpr Nanos kHelloTimeout = 5 * kSecond;
 }  // namespace
 
 ClientConnection::ClientConnection(ClientEndpoint& endpoint, std::unique_ptr<net::Stream> stream)
-    : endpoint_(endpoint), stream_(std::move(stream)) {}
+    : endpoint_(endpoint), stream_(std::move(stream)),
+      hello_timer_(endpoint.context.loop.make_timer([this] { reject("no hello in time"); })) {
+    hello_timer_->arm(endpoint.context.now() + kHelloTimeout);
+}
 
 void ClientConnection::send(const v1::ToClient& message) {
     if (!stream_ || state_ == State::closing) return;
@@ -59,6 +64,7 @@
     message.mutable_error()->set_text(reason);
     send(message);
     state_ = State::closing;
+    hello_timer_->disarm();
     // The error may not have left yet: it goes out before the stream is closed, unless the peer does not read
     // at all.
     context.rounds.defer([this] { endpoint_.remove(*this); });
@@ -76,6 +82,7 @@
 
 void ClientConnection::on_closed(net::CloseReason) {
     if (state_ == State::closing) return;
+    hello_timer_->disarm();
     state_ = State::closing;
     endpoint_.remove(*this);
 }
@@ -103,6 +110,7 @@
         return reject("hello.name: must have 1 to 256 bytes");
     ServerContext& context = endpoint_.context;
     state_ = State::open;
+    hello_timer_->disarm();
     name_ = hello.name();
     share.emplace(context.admission);
     v1::ToClient reply;
--- a/src/server/client_connection.h
+++ b/src/server/client_connection.h
@@ -55,6 +55,7 @@
     MessageWriter<v1::ToClient> writer_;
     std::string name_;
     State state_ = State::awaiting_hello;
+    std::unique_ptr<net::Timer> hello_timer_;  // until it has greeted
     bool reading_paused_ = false;
 };
 
--- a/src/server/task_controller.cpp
+++ b/src/server/task_controller.cpp
@@ -82,6 +82,7 @@
     const Nanos now = context_.now();
     const ResourceRequest request = resource_request(message, queue_groups_);
     const std::uint64_t service = stable_hash(message.service());
+    attempts_.supersede(peer, message.task());
     ledger::TaskRecord& record =
         context_.ledger.adopt_task(now, message.task(), service, request, peer.record);
     InFlightTask& task = add_task(client, message, record);
--- a/src/worker_connection/worker_connection.cpp
+++ b/src/worker_connection/worker_connection.cpp
@@ -127,6 +127,14 @@
     return all;
 }
 
+std::vector<ledger::Attempt*> WorkerConnection::running_attempts_of(std::string_view task_key) const {
+    std::vector<ledger::Attempt*> running = attempts_in_order();
+    std::erase_if(running, [task_key](const ledger::Attempt* attempt) {
+        return !attempt->accepted || attempt->task->key != task_key;
+    });
+    return running;
+}
+
 bool WorkerConnection::withdraw(ledger::Attempt& attempt) {
     const auto it = std::find(queue_.begin(), queue_.end(), &attempt);
     if (it == queue_.end()) return false;
@@ -209,13 +217,13 @@
     written.swap(unread_);
     drain_deadline_ = 0;
     back_off(now);
-    for (const WrittenAttempt& written : written) {
-        if (!written.attempt || written.attempt->ended) continue;
-        if (written.end_offset <= handed_over) {
+    for (const WrittenAttempt& entry : written) {
+        if (!entry.attempt || entry.attempt->ended) continue;
+        if (entry.end_offset <= handed_over) {
             ++statistics_.in_doubt;
             continue;
         }
-        ledger::Attempt& attempt = *written.attempt;
+        ledger::Attempt& attempt = *entry.attempt;
         remove_in_flight(attempt);
         ++statistics_.proven_unsent;
         handler_.on_attempt_ended(now, attempt, AttemptOutcome::not_sent);
--- a/src/worker_connection/worker_connection.h
+++ b/src/worker_connection/worker_connection.h
@@ -95,6 +95,8 @@
     // The worker is at another address now.
     void reconnect(Nanos now);
     // The worker is asked for the attempt now, or at its next greeting.
+    // Running attempts there of the task with that key, in the order of their numbers.
+    std::vector<ledger::Attempt*> running_attempts_of(std::string_view task_key) const;
     void adopt(ledger::Attempt&);
 
     // ---- what happens on the stream
--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -133,3 +133,23 @@
     CHECK(rig.time_until([&] { return released(second, 2); }, kWordLimit) < kWordLimit);
     CHECK(rig.time_until([&] { return released(first, 1); }, kEndLimit) < kEndLimit);
 }
+
+TEST_CASE("a configuration that is half written at the signal is read once it is whole", "[restarts]") {
+    ProcessRig rig;
+    rig.add_worker("w1");
+    rig.wait_until_ready();
+    ModelDiscovery moved;
+    moved.publish(R"({"host":"w1","health":"active"})");
+    rig.placer->options().discovery = moved.address();
+    rig.placer->replace_config(R"({"listen":"127.0.0.1:1","bus":")");
+    rig.placer->kill(SIGHUP);
+    rig.run_for(300 * kMillisecond);
+    CHECK(rig.placer->count_in_log("config_reload_failed") >= 1);
+    rig.placer->replace_config();
+    const auto watched = [&] {
+        moved.step();
+        return moved.watch_count() > 0;
+    };
+    CHECK(rig.time_until(watched, 3 * kSecond) < 3 * kSecond);
+    CHECK(rig.placer->count_in_log("config_reloaded") == 1);
+}
--- a/tests/server_clients_test.cpp
+++ b/tests/server_clients_test.cpp
@@ -7,7 +7,7 @@
 
 TEST_CASE("a client that disconnects with two hundred tasks waiting leaves nothing behind") {
     ServerRig rig;
-    TestClient& client = rig.connect_client();
+    TestClient &client = rig.connect_client();
     for (std::uint64_t i = 1; i <= 200; ++i) {
         v1::FromClient message;
         *message.mutable_submit() = rig.request(i, "free", 60 * kSecond);
@@ -25,7 +25,7 @@
 
 TEST_CASE("an incomplete message, and a client that never reads, delay nobody else") {
     ServerRig rig;
-    FakeWorker& worker = rig.add_worker("n");
+    FakeWorker &worker = rig.add_worker("n");
     rig.publish({rig.endpoint("n")});
     TestClient &half = rig.connect_client("half"), &deaf = rig.connect_client("deaf"),
                &good = rig.connect_client("good");
@@ -59,3 +59,15 @@
     for (std::uint64_t i = 1; i <= 20; ++i) rig.submit(other, rig.request(i, "free", 60 * kSecond));
     CHECK(other.count(&v1::ToClient::has_received) >= 16);
 }
+
+TEST_CASE("a client that never greets is told so and makes room after 5 s, one that has greeted stays") {
+    ServerRig rig;
+    TestClient &silent = rig.connect_client("silent", false), &greeted = rig.connect_client("greeted");
+    rig.run(4900 * kMillisecond);
+    CHECK_FALSE(silent.is_closed);
+    rig.run(300 * kMillisecond);
+    CHECK(silent.is_closed);
+    CHECK(silent.count(&v1::ToClient::has_error) == 1);
+    rig.run(10 * kSecond);
+    CHECK_FALSE(greeted.is_closed);
+}
--- a/tests/server_recovery_test.cpp
+++ b/tests/server_recovery_test.cpp
@@ -84,3 +84,26 @@
     rig.run(100 * kMillisecond);
     CHECK(rig.placer->server.recovery_queue().size() == 0);
 }
+
+TEST_CASE("a task that is handed over twice ends for the first client, and runs on for the second") {
+    ServerRig rig;
+    FakeWorker& worker = rig.add_worker("n");
+    rig.publish({rig.endpoint("n")});
+    TestClient &first = rig.connect_client(), &second = rig.connect_client();
+    v1::FromClient message;
+    *message.mutable_hand_over()->mutable_submit() = rig.request(1);
+    message.mutable_hand_over()->set_worker("n");
+    first.send(message);
+    rig.run(100 * kMillisecond);
+    second.send(message);
+    rig.run(100 * kMillisecond);
+    const auto adoptions = worker.connection().messages(&v1::ToWorker::has_adopt_attempt);
+    REQUIRE(adoptions.size() == 2);
+    REQUIRE(first.count(&v1::ToClient::has_ended) == 1);
+    CHECK(first.messages(&v1::ToClient::has_ended)[0].ended().outcome() != v1::TaskEnded::COMPLETED);
+    CHECK(second.count(&v1::ToClient::has_ended) == 0);
+    CHECK(worker.connection().count(&v1::ToWorker::has_cancel_attempt) == 0);
+    worker.end_attempt(adoptions[1].adopt_attempt().attempt(), v1::AttemptEnded::COMPLETED);
+    rig.run(100 * kMillisecond);
+    CHECK(second.count(&v1::ToClient::has_ended) == 1);
+}
--- a/tests/support/placer_process.h
+++ b/tests/support/placer_process.h
@@ -72,6 +72,11 @@
             ++count;
         return count;
     }
+    // Replaces the configuration by another text; empty: by what the options say now.
+    void replace_config(const std::string& text = "") const {
+        if (text.empty()) return write_config();
+        std::ofstream(path("config.json")) << text;
+    }
     // A file that the process and the test share.
     std::string path(const std::string& name) const { return folder_ + "/" + name; }
 
--- a/tests/support/process_rig.h
+++ b/tests/support/process_rig.h
@@ -136,6 +136,7 @@
 public:
     std::string address() const { return listener_.address(); }
     bool is_silent = false;  // watches stay open and hear nothing
+    std::size_t watch_count() const { return listener_.connections.size(); }
     void publish(const std::string& entry) {
         events_.push_back(
             watch_event(static_cast<std::int64_t>(events_.size()) + 1, {entry}, events_.empty()));
