--- a/apps/platform.cpp
+++ b/apps/platform.cpp
@@ -1,11 +1,14 @@
 #include "platform.h"
 
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "ledger/ledger.h"
@@ -18,6 +21,10 @@
 namespace whinpost::apps {
 namespace {
 
+// A start that lacks descriptors or memory is tried again for some seconds.
+constexpr int kStartTries = 50;
+constexpr std::chrono::milliseconds kStartRetryInterval{100};
+
 std::string required_variable(const char* name) {
     const char* value = std::getenv(name);
     if (!value || !*value) throw platform::BootstrapError(name, "", "is not set");
@@ -106,12 +113,35 @@
     int tries_left_ = 0;
 };
 
+// The machine lacks what a start needs, for now.
+class StartBlocked : public std::runtime_error {
+public:
+    using std::runtime_error::runtime_error;
+};
+
+std::unique_ptr<net::LibeventLoop> make_loop() {
+    try {
+        return std::make_unique<net::LibeventLoop>();
+    } catch (const std::runtime_error& error) {
+        throw StartBlocked(error.what());
+    }
+}
+
+void listen_for_clients(platform::PlatformServer& server, const std::string& address) {
+    const auto listening = server.listen(address);
+    if (listening) return;
+    const std::string reason = address + ": " + to_string(listening.error());
+    if (listening.error().may_pass) throw StartBlocked("GW_LISTEN: " + reason);
+    throw platform::BootstrapError("GW_LISTEN", "", reason);
+}
+
 int serve(log::Level level) {
     const std::string path = required_variable("GW_CONFIG");
     const std::string listen = required_variable("GW_LISTEN");
     required_variable("GW_NAME");
     const log::Logger log(level, log::Format::text);
-    net::LibeventLoop loop;
+    const std::unique_ptr<net::LibeventLoop> owned_loop = make_loop();
+    net::LibeventLoop& loop = *owned_loop;
     auto config = std::make_optional(platform::BootstrapConfig::read(path));
     const Deployment deployment(*config);
     ledger::Ledger ledger(deployment.groups, deployment.retry, deployment.slow_start);
@@ -128,8 +158,7 @@
     const auto drain = [&] { server.drain([&loop] { loop.stop(); }); };
     loop.on_signal(SIGTERM, drain);
     loop.on_signal(SIGINT, drain);
-    if (const auto listening = server.listen(listen); !listening)
-        throw platform::BootstrapError("GW_LISTEN", "", listen + ": " + to_string(listening.error()));
+    listen_for_clients(server, listen);
     server.discovery_watch().follow(config->discovery_address(), config->last_sequence());
     config.reset();  // the initial events may be large
     log(log::Level::info, "serving", {{"listen", listen}});
@@ -140,11 +169,16 @@
 }  // namespace
 
 int platform(log::Level level) {
-    try {
-        return serve(level);
-    } catch (const std::exception& error) {
-        std::cerr << "whinpost platform: " << error.what() << '\n';
-        return 1;
+    for (int tries_left = kStartTries;; std::this_thread::sleep_for(kStartRetryInterval)) {
+        try {
+            return serve(level);
+        } catch (const StartBlocked& blocked) {
+            std::cerr << "whinpost platform: " << blocked.what() << '\n';
+            if (--tries_left == 0) return 1;
+        } catch (const std::exception& error) {
+            std::cerr << "whinpost platform: " << error.what() << '\n';
+            return 1;
+        }
     }
 }
 
--- a/src/net/libevent_listener.cpp
+++ b/src/net/libevent_listener.cpp
@@ -34,21 +34,23 @@
 
 ListenResult LibeventListener::open(LibeventLoop& loop, const std::string& address, AcceptHandler handler) {
     std::unique_ptr<LibeventListener> listener(new LibeventListener(loop, std::move(handler)));
-    const std::string problem = listener->bind(address);
-    if (!problem.empty()) return tl::unexpected(ListenError{address, problem});
+    if (std::optional<ListenError> error = listener->bind(address)) return tl::unexpected(std::move(*error));
     return listener;
 }
 
-std::string LibeventListener::bind(const std::string& address) {
+std::optional<ListenError> LibeventListener::bind(const std::string& address) {
     std::optional<SocketAddress> local = parse_socket_address(address);
-    if (!local) return "not an IP address and port";
+    if (!local) return ListenError{address, "not an IP address and port"};
     listener_ =
         evconnlistener_new_bind(loop_.base(), &on_accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
                                 kBacklog, local->get(), static_cast<int>(local->length));
-    if (!listener_) return std::strerror(errno);
+    if (!listener_) {
+        const bool is_in_use = errno == EADDRINUSE || errno == EADDRNOTAVAIL;  // as somebody has set it up
+        return ListenError{address, std::strerror(errno), is_resource_shortage(errno) && !is_in_use};
+    }
     resume_event_ = event_new(loop_.base(), -1, EV_TIMEOUT, &on_resume, this);
     evconnlistener_set_error_cb(listener_, &on_accept_error);
-    return "";
+    return std::nullopt;
 }
 
 std::string LibeventListener::address() const {
--- a/src/net/libevent_listener.h
+++ b/src/net/libevent_listener.h
@@ -3,6 +3,7 @@
 #include <event2/util.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "net/stream.h"
@@ -28,8 +29,8 @@
 
 private:
     LibeventListener(LibeventLoop&, AcceptHandler);
-    // Empty, or why the address can't be listened on.
-    [[nodiscard]] std::string bind(const std::string& address);
+    // Nothing, or why the address can't be listened on.
+    [[nodiscard]] std::optional<ListenError> bind(const std::string& address);
     static void on_accept(evconnlistener*, evutil_socket_t, sockaddr*, int length, void* self);
     static void on_accept_error(evconnlistener*, void* self);
     static void on_resume(evutil_socket_t, short events, void* self);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -74,8 +74,9 @@
 
 // Why an address can't be listened on.
 struct ListenError {
-    std::string address;  // as it was asked for
-    std::string reason;   // the system's text for it, or what is wrong with the address
+    std::string address;    // as it was asked for
+    std::string reason;     // the system's text for it, or what is wrong with the address
+    bool may_pass = false;  // the machine lacks descriptors or memory for now: worth another try
 };
 // The reason alone: the address is the caller's to name.
 std::string to_string(const ListenError&);
--- a/src/platform/client_close_reason.h
+++ b/src/platform/client_close_reason.h
@@ -20,11 +20,11 @@
 constexpr std::size_t kClientCloseReasons = static_cast<std::size_t>(ClientCloseReason::draining) + 1;
 
 constexpr std::string_view to_string(ClientCloseReason reason) {
-    constexpr std::string_view kTexts[kClientCloseReasons] = {
+    constexpr std::string_view texts[kClientCloseReasons] = {
         "closed_by_client", "connection_lost", "no_request",   "partial_message",
         "malformed",        "protocol_error",  "duplicate_id", "reads_too_slowly",
         "evicted",          "server_full",     "draining"};
-    return kTexts[static_cast<std::size_t>(reason)];
+    return texts[static_cast<std::size_t>(reason)];
 }
 
 }  // namespace whinpost::platform
--- a/tests/support/fault_shim.h
+++ b/tests/support/fault_shim.h
@@ -57,6 +57,7 @@
         fault.count = count;
     }
     int hits(ShimmedCall call) const { return control_->faults[static_cast<std::size_t>(call)].hits; }
+    std::int64_t wall_clock_offset() const { return control_->wall_clock_offset; }
     void step_wall_clock(std::int64_t nanoseconds) { control_->wall_clock_offset += nanoseconds; }
 
 private:
--- a/tests/support/platform_sockets_rig.h
+++ b/tests/support/platform_sockets_rig.h
@@ -10,6 +10,7 @@
 
 #include <cerrno>
 #include <chrono>
+#include <cstring>
 #include <functional>
 #include <memory>
 #include <stdexcept>
@@ -24,15 +25,15 @@
 
 namespace whinpost {
 
-inline sockaddr_in loopback(int port) {
+inline sockaddr_in loopback(int port, std::uint32_t ip = INADDR_LOOPBACK) {
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_addr.s_addr = htonl(ip);
     address.sin_port = htons(static_cast<std::uint16_t>(port));
     return address;
 }
 inline void require(bool holds, const char* what) {
-    if (!holds) throw std::runtime_error(std::string("the rig: ") + what);
+    if (!holds) throw std::runtime_error(std::string("the rig: ") + what + ": " + std::strerror(errno));
 }
 
 // One end of a connection.
@@ -53,7 +54,7 @@
     ~SocketPeer() override { close(); }
 
     static SocketPeer dial(int port) {
-        SocketPeer peer(::socket(AF_INET, SOCK_STREAM, 0));
+        SocketPeer peer(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
         const sockaddr_in to = loopback(port);
         require(::connect(peer.fd_, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0, "connect");
         return peer;
@@ -117,10 +118,11 @@
 
 class ListeningSocket {
 public:
-    explicit ListeningSocket(int backlog = 64, int port = 0) : fd_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    explicit ListeningSocket(int backlog = 64, int port = 0, std::uint32_t ip = INADDR_LOOPBACK)
+        : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)), ip_(ip) {
         const int on = 1;
         setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-        sockaddr_in address = loopback(port);
+        sockaddr_in address = loopback(port, ip);
         require(::bind(fd_, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0, "bind");
         require(::listen(fd_, backlog) == 0, "listen");
         socklen_t length = sizeof address;
@@ -132,10 +134,15 @@
     ListeningSocket(const ListeningSocket&) = delete;
     ListeningSocket& operator=(const ListeningSocket&) = delete;
     int port() const { return port_; }
-    std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+    std::string address() const {
+        const in_addr ip{htonl(ip_)};
+        char text[INET_ADDRSTRLEN];
+        inet_ntop(AF_INET, &ip, text, sizeof text);
+        return std::string(text) + ":" + std::to_string(port_);
+    }
     // All that have come are accepted and read.
     void accept_and_read() {
-        for (int fd; fd_ >= 0 && (fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK)) >= 0;)
+        for (int fd; fd_ >= 0 && (fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;)
             connections.push_back(std::make_unique<SocketPeer>(fd));
         for (const auto& connection : connections) connection->read_available();
     }
@@ -156,6 +163,7 @@
 
 private:
     int fd_, port_ = 0;
+    std::uint32_t ip_;
 };
 
 struct SocketRig {
--- a/tests/support/process_rig.h
+++ b/tests/support/process_rig.h
@@ -24,9 +24,12 @@
 // handed to a placer, and says their ends until a connection is there to say them on.
 class ModelWorker {
 public:
-    explicit ModelWorker(std::string worker_name, int port = 0)
-        : name(std::move(worker_name)), listener_(std::make_unique<ListeningSocket>(64, port)),
-          port_(listener_->port()), address_(listener_->address()) {}
+    // On an address of its own, so that its port stays free while it is down.
+    ModelWorker(std::string worker_name, int host)
+        : name(std::move(worker_name)),
+          ip_(INADDR_LOOPBACK + kWorkerNetwork + static_cast<std::uint32_t>(host)),
+          listener_(std::make_unique<ListeningSocket>(kBacklog, 0, ip_)), port_(listener_->port()),
+          address_(listener_->address()) {}
 
     const std::string& address() const { return address_; }
     // One task that runs there though the placer under test never sent it.
@@ -45,10 +48,11 @@
         listener_.reset();
         running.clear();
         unsent_ends_.clear();
+        sent_ends_.clear();
         unreported_.clear();
     }
     void start_again() {
-        listener_ = std::make_unique<ListeningSocket>(64, port_);
+        listener_ = std::make_unique<ListeningSocket>(kBacklog, port_, ip_);
         started_at_ms = read_clock(CLOCK_REALTIME) / kMillisecond;
     }
     void reset_connections() {
@@ -64,10 +68,13 @@
     std::set<std::uint64_t> running, cancelled;
     std::size_t attempts = 0;
 
+    bool is_down() const { return !listener_; }
     std::size_t connection_count() const { return connections_.size(); }
     void step() {
         if (!listener_ || is_silent) return;
         listener_->accept_and_read();
+        // What was said on a connection that is gone may have been read by nobody.
+        if (!listener_->connections.empty()) unsent_ends_.merge(std::exchange(sent_ends_, {}));
         for (std::unique_ptr<SocketPeer>& accepted : listener_->connections)
             connections_.push_back(std::make_unique<Connection>(Connection{std::move(accepted), 0}));
         listener_->connections.clear();
@@ -80,7 +87,10 @@
         if (reports_handed_over)
             for (const std::uint64_t id : std::exchange(unreported_, {}))
                 if (running.contains(id)) report_use(any, id);
-        for (const auto& [id, cause] : std::exchange(unsent_ends_, {})) any.release(id, cause);
+        for (const auto& [id, cause] : std::exchange(unsent_ends_, {})) {
+            any.release(id, cause);
+            sent_ends_[id] = cause;
+        }
     }
 
 private:
@@ -123,12 +133,15 @@
         }
     }
 
+    static constexpr int kBacklog = 64;
+    static constexpr std::uint32_t kWorkerNetwork = 0x100;  // 127.0.1.x
+    const std::uint32_t ip_;
     std::unique_ptr<ListeningSocket> listener_;
     int port_;
     std::string address_;
     std::vector<std::unique_ptr<Connection>> connections_;
     std::set<std::uint64_t> unreported_;
-    std::map<std::uint64_t, platform_codec::Cause> unsent_ends_;
+    std::map<std::uint64_t, platform_codec::Cause> unsent_ends_, sent_ends_;
 };
 
 // The endpoint list, told to whoever watches.
@@ -136,6 +149,16 @@
 public:
     std::string address() const { return listener_.address(); }
     bool is_silent = false;  // watches stay open and hear nothing
+    // All events so far, as a configuration holds them.
+    std::string events_as_json() const {
+        std::string list;
+        for (const std::string& event : events_) {
+            const std::size_t from = event.find("data: ") + 6;
+            list += (list.empty() ? "" : ",") + event.substr(from, event.size() - from - 2);
+        }
+        return "[" + list + "]";
+    }
+    std::int64_t last_sequence() const { return static_cast<std::int64_t>(events_.size()); }
     std::size_t watch_count() const { return listener_.connections.size(); }
     void publish(const std::string& entry) {
         events_.push_back(
@@ -188,14 +211,17 @@
 
 class ProcessRig {
 public:
-    explicit ProcessRig(PlacerProcessOptions options = {}) : port_(ListeningSocket().port()) {
-        options.listen = "127.0.0.1:" + std::to_string(port_);
+    explicit ProcessRig(PlacerProcessOptions options = {}) {
+        ListeningSocket free_port(1, 0, kPlacerIp);
+        port_ = free_port.port();
+        options.listen = free_port.address();
+        free_port.close();
         options.discovery = discovery.address();
         placer = std::make_unique<PlacerProcess>(std::move(options));
     }
     // Listed from now on.
     ModelWorker& add_worker(const std::string& name, bool listed = true) {
-        workers.push_back(std::make_unique<ModelWorker>(name));
+        workers.push_back(std::make_unique<ModelWorker>(name, static_cast<int>(workers.size())));
         if (listed) publish(*workers.back());
         return *workers.back();
     }
@@ -225,14 +251,13 @@
         require(client.is_open(), "the placer accepts a client");
         return client;
     }
-    // Null-like where nobody listens.
+    // Not open where nobody listens.
     SocketPeer try_connect(int host = 1) {
-        SocketPeer peer(::socket(AF_INET, SOCK_STREAM, 0));
-        sockaddr_in from = loopback(0);
-        from.sin_addr.s_addr = htonl(INADDR_LOOPBACK - 1 + static_cast<unsigned>(host));
+        SocketPeer peer(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+        const sockaddr_in from = loopback(0, INADDR_LOOPBACK - 1 + static_cast<std::uint32_t>(host));
         require(::bind(peer.descriptor(), reinterpret_cast<const sockaddr*>(&from), sizeof from) == 0,
                 "bind");
-        const sockaddr_in to = loopback(port_);
+        const sockaddr_in to = loopback(port_, kPlacerIp);
         if (::connect(peer.descriptor(), reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0) return {};
         return peer;
     }
@@ -279,7 +304,8 @@
     std::unique_ptr<PlacerProcess> placer;
 
 private:
-    int port_;
+    static constexpr std::uint32_t kPlacerIp = INADDR_LOOPBACK + 0x200;  // 127.0.2.1
+    int port_ = 0;
 };
 
 }  // namespace whinpost
--- a/tests/system_call_faults_test.cpp
+++ b/tests/system_call_faults_test.cpp
@@ -146,3 +146,15 @@
         CHECK_FALSE(released(client, id));
     }
 }
+
+TEST_CASE("a start that lacks resources for a moment comes up", "[short]") {
+    ShimmedRig shimmed;
+    ProcessRig& rig = shimmed.rig;
+    rig.wait_until_ready();
+    rig.placer->kill(SIGKILL);
+    rig.run_until("its end", [&] { return rig.placer->has_ended(); });
+    shimmed.shim.fail(ShimmedCall::socket, ENOBUFS, 3);
+    rig.placer->restart();
+    rig.wait_until_ready();
+    CHECK(shimmed.shim.hits(ShimmedCall::socket) == 3);
+}
