--- a/tests/platform_recovery_test.cpp
+++ b/tests/platform_recovery_test.cpp
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 
 #include "support/platform_rig.h"
+#include "support/quiet_planner.h"
 
 using namespace whinpost;
 
@@ -41,3 +42,46 @@
     rig.run(20 * kMillisecond);
     CHECK(client.count(MessageType::release, 1) == 1);
 }
+
+TEST_CASE("a migration that finds no connection of its client is made once there is one, if still wanted") {
+    SingleWorkerRig rig;
+    QuietPlanner quiet;
+    rig.server.set_planner(quiet);
+    rig.request_placement(rig.client, 1);
+    REQUIRE(quiet.submitted.size() == 1);
+    rig.server.place(quiet.submitted[0], 0, kSecond);
+    rig.run(20 * kMillisecond);
+    rig.worker.last_connection().answer(1);
+    rig.run(20 * kMillisecond);
+    rig.client.stream.reset();
+    const bool drain_goes_on = GENERATE(true, false);
+    rig.publish({PlatformRig::entry(rig.worker, "leaving")});
+    rig.server.migrate(quiet.submitted[0]);
+    rig.run(100 * kMillisecond);
+    CHECK(rig.worker.count(MessageType::release, 1) == 0);
+    if (!drain_goes_on) rig.publish({PlatformRig::entry(rig.worker)});
+    TestClient& back = rig.connect_client(1);
+    back.send_plain_check();
+    rig.run(100 * kMillisecond);
+    CHECK(back.count(MessageType::migrate, 1) == (drain_goes_on ? 1u : 0u));
+    CHECK(rig.worker.count(MessageType::release, 1) == (drain_goes_on ? 1u : 0u));
+    CHECK(rig.server.task_count() == (drain_goes_on ? 0u : 1u));
+}
+
+TEST_CASE("a report again from the same client moves the end of its task to the newer connection") {
+    SingleWorkerRig rig;
+    rig.request_placement(rig.client, 1);
+    rig.worker.last_connection().answer(1);
+    rig.run(20 * kMillisecond);
+    TestClient &again = rig.connect_client(1), &stranger = rig.connect_client(2);
+    rig.request_placement(again, 1, "free", 4294967, ";at:h");
+    rig.request_placement(stranger, 1, "free", 4294967, ";at:h");
+    rig.run(3 * kSecond);
+    CHECK_FALSE(again.closed);
+    CHECK(stranger.closed);  // it is told nothing of another's task, and not kept
+    rig.worker.last_connection().release(1, platform_codec::Cause::ok);
+    rig.run(20 * kMillisecond);
+    CHECK(again.count(MessageType::release, 1) == 1);
+    CHECK(rig.client.count(MessageType::release, 1) == 0);
+    CHECK(stranger.received.empty());
+}
--- /dev/null
+++ b/tests/platform_wait_matrix_test.cpp
@@ -0,0 +1,198 @@
+// Whoever waits is told in time: who waits, what ends it, and what breaks at that moment, each with each. In
+// virtual time.
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "support/platform_rig.h"
+
+using namespace whinpost;
+using platform_codec::Cause;
+
+namespace {
+
+// 1 s of a worker's word, 8 s of an end without one, and what a client takes to come back.
+constexpr Nanos kEndLimit = 8 * kSecond + 200 * kMillisecond;
+constexpr Nanos kClientAway = kSecond;
+constexpr int kTimeLeftMs = 2000;
+
+enum class Waiter { placed, adopted, unconfirmed };
+enum class End { worker_says, worker_dies, worker_back_at_once, worker_leaves };
+enum class Break {
+    nothing,
+    client_resets,
+    client_half_closes,
+    worker_resets,
+    worker_silent,
+    list_silent,
+    list_late,
+    descriptors
+};
+constexpr const char* kWaiters[] = {"placed", "adopted", "unconfirmed"};
+constexpr const char* kEnds[] = {"worker says", "worker dies", "worker back at once", "worker leaves"};
+constexpr const char* kBreaks[] = {"nothing",       "client resets", "client half-closes", "worker resets",
+                                   "worker silent", "list silent",   "list late",          "descriptors"};
+
+class Cell {
+public:
+    Cell(Waiter waiter, End end, Break broken)
+        : waiter_(waiter), end_(end), break_(broken), rig_(broken == Break::descriptors ? 34 : 256),
+          client_(&rig_.client) {}
+
+    // Whether the client was told of the end, once.
+    bool is_told() {
+        begin();
+        rig_.run(200 * kMillisecond);
+        break_something();
+        end_task();
+        const Nanos limit = rig_.world.now() + kEndLimit;
+        const Nanos back_at = rig_.world.now() + kClientAway;
+        while (rig_.world.now() < limit && client_->count(MessageType::release, 1) == 0) {
+            rig_.run(100 * kMillisecond);
+            if (is_list_alive()) publish_state();
+            if (client_->closed && rig_.world.now() >= back_at) come_back();
+        }
+        const bool told = client_->count(MessageType::release, 1) == 1;
+        rig_.run(2 * kSecond);
+        return told && client_->count(MessageType::release, 1) == 1;
+    }
+
+private:
+    void begin() {
+        if (waiter_ == Waiter::placed) {
+            rig_.request_placement(*client_, 1);
+            rig_.worker.last_connection().answer(1);
+            return;
+        }
+        rig_.request_placement(*client_, 1, "free", 4294967, ";at:h");
+        if (waiter_ == Waiter::adopted) report_use();
+    }
+    void report_use() {
+        Message use;
+        use.type = MessageType::note;
+        use.task = 1;
+        use.detail = "cores";
+        use.metric_value = "0.5";
+        rig_.worker.last_connection().send(use);
+    }
+    void break_something() {
+        switch (break_) {
+            case Break::nothing:
+            case Break::list_late:
+                return;
+            case Break::client_resets:
+                client_->stream->abort();
+                client_->stream.reset();
+                client_->closed = true;
+                return;
+            case Break::client_half_closes:
+                client_->stream->shutdown_write();
+                return;
+            case Break::worker_resets:
+                reset_connections();
+                return;
+            case Break::worker_silent:
+                for (const auto& connection : rig_.worker.connections)
+                    if (connection->stream) connection->stream->set_reading(false);
+                return;
+            case Break::list_silent:
+                rig_.comments = false;
+                return;
+            case Break::descriptors:
+                for (int i = 0; i < 40; ++i) rig_.connect_client(10 + i);
+        }
+    }
+    void reset_connections() {
+        for (const auto& connection : rig_.worker.connections)
+            if (connection->stream) connection->stream->abort();
+        rig_.run(100 * kMillisecond);
+    }
+    void end_task() {
+        ended_at_ = rig_.world.now();
+        switch (end_) {
+            case End::worker_says:
+                // Repeated on each connection, as workers do.
+                for (const auto& connection : rig_.worker.connections)
+                    if (connection->stream) connection->release(1, Cause::ok);
+                return;
+            case End::worker_dies:
+                rig_.worker.listener.reset();
+                return reset_connections();
+            case End::worker_back_at_once:
+                started_at_ms_ = rig_.world.now() / kMillisecond;
+                return reset_connections();
+            case End::worker_leaves:
+                if (is_list_alive()) rig_.publish({PlatformRig::entry(rig_.worker, "left")});
+                has_left_ = true;
+                rig_.worker.listener.reset();
+                return reset_connections();
+        }
+    }
+    bool is_list_alive() const {
+        if (break_ == Break::list_silent) return false;
+        return break_ != Break::list_late || rig_.world.now() - ended_at_ > 4 * kSecond;
+    }
+    void publish_state() {
+        std::string entry = PlatformRig::entry(rig_.worker, has_left_ ? "left" : "active");
+        const std::string none = "\"born_ms\":0";
+        entry.replace(entry.find(none), none.size(), "\"born_ms\":" + std::to_string(started_at_ms_));
+        rig_.publish({entry});
+    }
+    void come_back() {
+        client_ = &rig_.connect_client(1);
+        client_->send_plain_check();
+        rig_.run(20 * kMillisecond);
+    }
+
+    const Waiter waiter_;
+    const End end_;
+    const Break break_;
+    SingleWorkerRig rig_;
+    TestClient* client_;
+    Nanos ended_at_ = 0;
+    std::int64_t started_at_ms_ = 0;
+    bool has_left_ = false;
+};
+
+}  // namespace
+
+TEST_CASE("the end of a running task reaches its client, whatever ends it and whatever breaks") {
+    int cells = 0;
+    for (int waiter = 0; waiter < 3; ++waiter)
+        for (int end = 0; end < 4; ++end)
+            for (int broken = 0; broken < 8; ++broken) {
+                INFO(kWaiters[waiter] << ", " << kEnds[end] << ", " << kBreaks[broken]);
+                Cell cell(static_cast<Waiter>(waiter), static_cast<End>(end), static_cast<Break>(broken));
+                CHECK(cell.is_told());
+                ++cells;
+            }
+    CHECK(cells == 96);
+}
+
+// A client that closes its side only is left out here: the simulated network has no such streams. On real
+// sockets: platform_sockets_clients_test.cpp.
+TEST_CASE("a request has one answer in its time, whatever its worker does and whatever breaks") {
+    const std::string worker_does = GENERATE("accepts", "rejects", "nothing", "dies", "resets", "leaves");
+    const std::string broken = GENERATE("nothing", "list silent", "draining", "no worker");
+    INFO(worker_does << ", " << broken);
+    SingleWorkerRig rig;
+    bool drained = false;
+    if (broken == "no worker") rig.publish({PlatformRig::entry(rig.worker, "left")});
+    rig.request_placement(rig.client, 1, "free", kTimeLeftMs);
+    const Nanos limit = rig.world.now() + kTimeLeftMs * kMillisecond + 100 * kMillisecond;
+    if (broken == "list silent") rig.comments = false;
+    if (broken == "draining") rig.server.drain([&drained] { drained = true; });
+    if (!rig.worker.connections.empty()) {
+        TestClient& connection = rig.worker.last_connection();
+        if (worker_does == "accepts") connection.answer(1);
+        if (worker_does == "rejects") connection.release(1, Cause::full, "no_cores");
+        if (worker_does == "resets" || worker_does == "dies") connection.stream->abort();
+        if (worker_does == "dies") rig.worker.listener.reset();
+        if (worker_does == "leaves") rig.publish({PlatformRig::entry(rig.worker, "left")});
+    }
+    while (rig.world.now() < limit) rig.run(50 * kMillisecond);
+    CHECK(answer_count(rig.client, 1) == 1);
+    rig.run(2 * kSecond);
+    CHECK(answer_count(rig.client, 1) == 1);
+    if (broken == "draining") CHECK(drained);
+}
--- a/tests/support/platform_messages.h
+++ b/tests/support/platform_messages.h
@@ -44,6 +44,14 @@
         if (!reason.empty()) message.detail = reason;
         send(message);
     }
+    // A health check, which the server answers: the shortest way to be known as a client.
+    void send_plain_check() {
+        Message message;
+        message.type = MessageType::health_check;
+        message.task = 1;
+        message.cause = platform_codec::Cause::check_failed;
+        send(message);
+    }
     std::vector<ReceivedMessage> messages(MessageType type) const {
         std::vector<ReceivedMessage> out;
         for (const ReceivedMessage& message : received)
