Evict connections whose tasks are only reported before those whose tasks are known to run

Confirmed tasks count for more now. Of releases that wait for an acknowledgement 4096 are kept for each connection instead of 64 where clients acknowledge, and one that is forgotten is logged. New case in client_server_test (fails with the old order).

--- a/src/platform/attempt_controller.cpp
+++ b/src/platform/attempt_controller.cpp
@@ -257,6 +257,7 @@
 }
 
 void AttemptController::on_task_confirmed(InFlightTask& task) {
+    if (task.client && task.counted_for_client) task.client->confirm_running_task();
     context_.log(log::Level::debug, "task_confirmed",
                  {{"task", task.name}, {"id", task.id}, {"worker", task.worker->name()}});
     InFlightTask* earlier = tasks_.find_by_id(std::exchange(task.supersedes, 0));
--- a/src/platform/client_connection.cpp
+++ b/src/platform/client_connection.cpp
@@ -22,8 +22,8 @@
 // Bytes that lie unread may hold a client's last message once the loop has been away for so long. Half of the
 // 0.1 s after which an attempt for a client that has gone is too late.
 constexpr Nanos kLoopAway = 50 * kMillisecond;
-// Of one connection; each is acknowledged within a round trip.
-constexpr std::size_t kMaxUnacknowledged = 64;
+// Of one connection; each is acknowledged within a round trip, where clients acknowledge at all.
+constexpr std::size_t kMaxUnacknowledged = 4096, kMaxUnacknowledgedAtFirst = 64;
 
 std::string without_port(const std::string& address) { return address.substr(0, address.rfind(':')); }
 
@@ -46,8 +46,12 @@
 // Guards against a close that crosses the release: a client that acknowledges releases, and has not
 // acknowledged this one before its connection went, has not received it.
 void ClientConnection::send_task_ended(std::uint64_t id, platform_codec::Cause cause) {
-    if (unacknowledged_releases_.size() >= kMaxUnacknowledged)
+    const std::size_t limit = server_.clients_acknowledge_ ? kMaxUnacknowledged : kMaxUnacknowledgedAtFirst;
+    if (unacknowledged_releases_.size() >= limit) {
+        server_.log_(server_.clients_acknowledge_ ? log::Level::warning : log::Level::debug,
+                     "release_forgotten", {{"client", peer_}, {"id", unacknowledged_releases_.front().id}});
         unacknowledged_releases_.erase(unacknowledged_releases_.begin());
+    }
     unacknowledged_releases_.push_back({id, cause, server_.loop_.now()});
     send_release(id, cause);
 }
--- a/src/platform/client_connection.h
+++ b/src/platform/client_connection.h
@@ -47,8 +47,16 @@
     // What the connection is of use for: evicted first are those that are of none.
     void add_open_request() { ++open_requests_; }
     void remove_open_request() { --open_requests_; }
-    void add_running_task() { ++running_tasks_; }
-    void remove_running_task() { --running_tasks_; }
+    // `confirmed`: the task's worker has shown that it runs.
+    void add_running_task(bool confirmed) {
+        ++running_tasks_;
+        confirmed_tasks_ += confirmed;
+    }
+    void confirm_running_task() { ++confirmed_tasks_; }
+    void remove_running_task(bool confirmed) {
+        --running_tasks_;
+        confirmed_tasks_ -= confirmed;
+    }
     const std::string& client_address() const { return client_address_; }  // without the port
 
 private:
@@ -87,8 +95,9 @@
     bool peer_closed_ = false;
     Nanos ended_at_ = 0;
     std::vector<UnacknowledgedRelease> unacknowledged_releases_;
-    int open_requests_ = 0;  // that wait for their answer
-    int running_tasks_ = 0;  // whose end is to be sent on it
+    int open_requests_ = 0;    // that wait for their answer
+    int running_tasks_ = 0;    // whose end is to be sent on it
+    int confirmed_tasks_ = 0;  // of these, shown to run by their worker
 };
 
 }  // namespace whinpost::platform
--- a/src/platform/client_server.cpp
+++ b/src/platform/client_server.cpp
@@ -1,6 +1,7 @@
 #include "platform/client_server.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace whinpost::platform {
@@ -93,6 +94,8 @@
     return false;
 }
 
+// A task that is only reported counts for less than one that is shown to run: a crowd of such reports would
+// evict those that wait for a real one.
 ClientConnection* ClientServer::choose_eviction(Nanos now, const std::vector<ClientConnection*>& kept) const {
     const auto eligible = [&kept](const ClientConnection& client) {
         return !client.is_rejected() && std::find(kept.begin(), kept.end(), &client) == kept.end();
@@ -104,7 +107,7 @@
     }
     if (chosen) return chosen;
     const auto usefulness = [](const ClientConnection& client) {
-        return std::pair(client.running_tasks_ > 0, client.last_used_);
+        return std::tuple(client.confirmed_tasks_ > 0, client.running_tasks_ > 0, client.last_used_);
     };
     for (const auto& client : clients_) {
         if (!client->has_sent_ || client->open_requests_ || !eligible(*client)) continue;
--- a/src/platform/pooled_worker.cpp
+++ b/src/platform/pooled_worker.cpp
@@ -140,9 +140,8 @@
     const bool was_confirmed = task.liveness.is_confirmed();
     const Nanos since = task.liveness.doubted_since();
     task.liveness.on_worker_message();
-    if (was_confirmed)
-        for (const auto& [id, other] : running_) other->liveness.on_process_confirmed(since);
-    handler_.on_task_confirmed(task);
+    if (!was_confirmed) return handler_.on_task_confirmed(task);
+    for (const auto& [id, other] : running_) other->liveness.on_process_confirmed(since);
 }
 
 bool PooledWorker::has_mentioned(std::uint64_t id) const {
--- a/src/platform/task_lifecycle.cpp
+++ b/src/platform/task_lifecycle.cpp
@@ -29,7 +29,8 @@
 void TaskLifecycle::start_running(InFlightTask& task, PooledWorker& worker) {
     worker.add_running(task);
     tasks_.add_running(task);
-    if (task.client && !std::exchange(task.counted_for_client, true)) task.client->add_running_task();
+    if (task.client && !std::exchange(task.counted_for_client, true))
+        task.client->add_running_task(task.liveness.is_confirmed());
 }
 
 void TaskLifecycle::end_attempt(InFlightTask& task, AttemptOutcome outcome, OutcomeReason reason,
@@ -80,14 +81,17 @@
 }
 
 void TaskLifecycle::move_to_connection(InFlightTask& task, ClientConnection& connection) {
-    if (std::exchange(task.counted_for_client, true) && task.client) task.client->remove_running_task();
+    const bool confirmed = task.liveness.is_confirmed();
+    if (std::exchange(task.counted_for_client, true) && task.client)
+        task.client->remove_running_task(confirmed);
     task.client = &connection;
-    connection.add_running_task();
+    connection.add_running_task(confirmed);
 }
 
 void TaskLifecycle::discard(InFlightTask& task) {
     if (!tasks_.remove(task)) return;
-    if (std::exchange(task.counted_for_client, false) && task.client) task.client->remove_running_task();
+    if (std::exchange(task.counted_for_client, false) && task.client)
+        task.client->remove_running_task(task.liveness.is_confirmed());
     context_.ledger.erase_task(*task.record);
     task.record = nullptr;
     context_.rounds.schedule();
--- a/src/platform/worker_handler.h
+++ b/src/platform/worker_handler.h
@@ -25,7 +25,7 @@
                                const LoadReport&) = 0;
     // A running task is taken to be over without its worker's word.
     virtual void on_task_lost(InFlightTask&, ledger::TaskLossReason) = 0;
-    // Its worker has said something of a task that was in doubt.
+    // Its worker has said something of a task that was only reported so far.
     virtual void on_task_confirmed(InFlightTask&) = 0;
     // Whether discovery has told all that it knew a while ago.
     virtual bool is_endpoint_list_current() const = 0;
--- a/tests/client_server_test.cpp
+++ b/tests/client_server_test.cpp
@@ -85,7 +85,7 @@
     TestClient& running = fixture.connect(2);
     fixture.request(idle, 5);
     fixture.request(running, 6);
-    fixture.handler.requests[1].first->add_running_task();
+    fixture.handler.requests[1].first->add_running_task(true);
     fixture.handler.room = false;
     fixture.connect(3);
     fixture.run(200 * kMillisecond);
@@ -167,3 +167,19 @@
     CHECK(closed(platform::ClientCloseReason::closed_by_client) == 1);
     CHECK(closed(platform::ClientCloseReason::connection_lost) == 1);
 }
+
+TEST_CASE("a connection whose task is only reported is evicted before one whose task is known to run") {
+    ClientServerFixture fixture;
+    TestClient& known = fixture.connect(1);
+    fixture.request(known, 5);
+    TestClient& reported = fixture.connect(2);
+    fixture.request(reported, 6);  // used later
+    fixture.handler.requests[0].first->add_running_task(false);
+    fixture.handler.requests[0].first->confirm_running_task();
+    fixture.handler.requests[1].first->add_running_task(false);
+    fixture.handler.room = false;
+    fixture.connect(3);
+    fixture.run(200 * kMillisecond);
+    CHECK(reported.closed);
+    CHECK_FALSE(known.closed);
+}
