Ends of moved, cancelled and doubted tasks reach their client; adoptions in a file of their own

Tried and undone: rejecting the first queued request of a connection 2.7 s after connecting. Adoption moved out of AttemptController into AdoptionController.

--- a/src/ledger/task_liveness.cpp
+++ b/src/ledger/task_liveness.cpp
@@ -48,9 +48,9 @@
 TaskLiveness::Verdict TaskLiveness::check(Nanos now, bool list_is_current) {
     const Nanos doubted_for = now - since_;
     if (doubt_ == Doubt::unconfirmed && doubted_for >= kConfirmationTimeout) return Verdict::unconfirmed;
-    if (doubt_ != Doubt::interrupted || doubted_for < kInterruptionTimeout) return Verdict::keep;
-    if (!list_is_current || refused_) return Verdict::interrupted;
-    on_worker_message();
+    if (doubt_ != Doubt::interrupted) return Verdict::keep;
+    if (list_is_current && !refused_ && doubted_for >= kListDelay) on_worker_message();
+    else if (doubted_for >= kInterruptionTimeout) return Verdict::interrupted;
     return Verdict::keep;
 }
 
--- a/src/ledger/task_liveness.h
+++ b/src/ledger/task_liveness.h
@@ -28,8 +28,10 @@
     // Clients are owed a word 3 s after they connect. Workers speak within some 20 ms of a report (measured
     // on loopback); the rest is for dials that come up late.
     static constexpr Nanos kConfirmationTimeout = 2500 * kMillisecond;
+    // After so long a watch on the endpoint list that is up and not silent has told a restart.
+    static constexpr Nanos kListDelay = 4 * kSecond;
     // What is over is to be released 8 s after its end at the latest.
-    static constexpr Nanos kInterruptionTimeout = 7 * kSecond;
+    static constexpr Nanos kInterruptionTimeout = 7500 * kMillisecond;
 
     // A client reports the task: nothing shows yet that it runs.
     void on_reported(Nanos now);
@@ -48,8 +50,9 @@
     Nanos doubted_since() const { return since_; }  // valid while in doubt
 
     enum class Verdict { keep, unconfirmed, interrupted };
-    // To be asked from time to time. `list_is_current`: the endpoint list would have told a restart by now.
-    // That ends the doubt after an interruption, unless a dial was refused meanwhile.
+    // To be asked from time to time. `list_is_current`: the watch on the endpoint list is up and not silent
+    // now. At any moment from kListDelay on that ends the doubt after an interruption, unless a dial was
+    // refused.
     Verdict check(Nanos now, bool list_is_current);
 
 private:
--- /dev/null
+++ b/src/platform/adoption_controller.cpp
@@ -0,0 +1,111 @@
+#include "platform/adoption_controller.h"
+
+#include <optional>
+#include <utility>
+
+#include "platform/pooled_worker.h"
+#include "whinpost/stable_hash.h"
+
+namespace whinpost::platform {
+
+bool AdoptionController::adopt(const RunningTaskReport& report, ClientConnection* client) {
+    const PlacementRequest& request = report.request;
+    if (InFlightTask* known = tasks_.find_by_id(report.id)) {
+        report_known(*known, report, client);
+        return true;
+    }
+    const EndpointList::Endpoint* endpoint = endpoints_.find(request.running_on);
+    if (!endpoint) return false;
+    PooledWorker& worker = *endpoint->worker;
+    const InFlightTask* earlier = tasks_.find_running(request.task_name);
+    const Nanos now = context_.now();
+    const std::uint64_t service = stable_hash(request.service);
+    ledger::TaskRecord& record =
+        context_.ledger.adopt_task(now, request.task_name, service, request.resources, *endpoint->record);
+    InFlightTask& task = tasks_.create(report.id, record, client, report.client_address);
+    task.name = request.task_name;
+    task.liveness.on_reported(report.since);
+    task.supersedes = earlier ? earlier->id : 0;
+    context_.planner().adopt(now, record.number, service, request.resources, worker.number());
+    lifecycle_.start_running(task, worker);
+    ++context_.statistics.tasks_adopted;
+    const std::optional<platform_codec::Cause> cause = worker.recent_end_of(report.id);
+    if (cause || worker.has_mentioned(report.id)) worker.on_task_message(task);
+    context_.log(log::Level::info, "task_adopted",
+                 {{"task", request.task_name},
+                  {"id", report.id},
+                  {"worker", request.running_on},
+                  {"client", report.client_address},
+                  {"connected", client != nullptr},
+                  {"confirmed", task.liveness.is_confirmed()},
+                  {"ended", cause.has_value()}});
+    if (cause) end_at_once(task, *cause);
+    context_.rounds.schedule();
+    return true;
+}
+
+// The same report again comes from a client whose connection before may be dead without its end being known.
+// One that differs in anything but the connection is another client's, which may share the address: it moves
+// nothing.
+void AdoptionController::report_known(InFlightTask& task, const RunningTaskReport& report,
+                                      ClientConnection* client) {
+    const bool is_same = task.running && task.client_address == report.client_address &&
+                         task.name == report.request.task_name &&
+                         task.worker->name() == report.request.running_on;
+    context_.log(log::Level::info, "task_already_known",
+                 {{"task", report.request.task_name},
+                  {"known_task", task.name},
+                  {"id", report.id},
+                  {"client", report.client_address},
+                  {"same_report", is_same}});
+    if (is_same && client) lifecycle_.move_to_connection(task, *client);
+}
+
+// Its worker has said so before the report came.
+void AdoptionController::end_at_once(InFlightTask& task, platform_codec::Cause cause) {
+    task.worker->remove_running(task, false);
+    lifecycle_.notify_task_ended(task, cause);
+    const bool completed = cause == platform_codec::Cause::ok;
+    lifecycle_.end_attempt(task, completed ? AttemptOutcome::completed : AttemptOutcome::reset,
+                           OutcomeReason::unspecified, {}, true);
+}
+
+void AdoptionController::on_report_dropped(const RunningTaskReport& report, ClientConnection* client) {
+    ++context_.statistics.reports_dropped;
+    context_.log(log::Level::warning, "task_report_dropped",
+                 {{"task", report.request.task_name},
+                  {"id", report.id},
+                  {"worker", report.request.running_on},
+                  {"client", report.client_address},
+                  {"waited_ms", (context_.now() - report.since) / kMillisecond}});
+    lifecycle_.notify_ended({report.id, platform_codec::Cause::reset, report.client_address, context_.now()},
+                            client);
+}
+
+void AdoptionController::on_task_confirmed(InFlightTask& task) {
+    if (task.client && task.counted_for_client) task.client->confirm_running_task();
+    context_.log(log::Level::debug, "task_confirmed",
+                 {{"task", task.name}, {"id", task.id}, {"worker", task.worker->name()}});
+    InFlightTask* earlier = tasks_.find_by_id(std::exchange(task.supersedes, 0));
+    if (earlier && earlier->running && earlier->name == task.name) supersede(*earlier, task);
+}
+
+// The worker knows the task by the later id and speaks of it under no other, so the earlier one would never
+// end. A client that gave it another id itself waits for that one alone.
+void AdoptionController::supersede(InFlightTask& earlier, const InFlightTask& later) {
+    ++context_.statistics.running_tasks_lost;
+    context_.log(log::Level::info, "task_lost",
+                 {{"task", earlier.name},
+                  {"id", earlier.id},
+                  {"worker", earlier.worker->name()},
+                  {"reason", ledger::to_string(ledger::TaskLossReason::superseded)},
+                  {"later_id", later.id}});
+    const bool is_copy =
+        earlier.worker != later.worker && earlier.record->queue_group->effect == Effect::idempotent;
+    if (earlier.client_address != later.client_address)
+        lifecycle_.notify_task_ended(earlier, platform_codec::Cause::reset);
+    earlier.worker->remove_running(earlier, is_copy);
+    lifecycle_.end_attempt(earlier, AttemptOutcome::cancelled, OutcomeReason::unspecified, {}, true);
+}
+
+}  // namespace whinpost::platform
--- a/src/platform/attempt_controller.cpp
+++ b/src/platform/attempt_controller.cpp
@@ -1,11 +1,8 @@
 #include "platform/attempt_controller.h"
 
-#include <optional>
 #include <string>
 #include <utility>
 
-#include "whinpost/stable_hash.h"
-
 namespace whinpost::platform {
 
 using platform_codec::Message;
@@ -19,9 +16,9 @@
 
 AttemptController::AttemptController(const ServerContext& context, TaskTable& tasks, TaskLifecycle& lifecycle,
                                      const EndpointList& endpoints, const DiscoveryWatch& watch,
-                                     WorkerPool& pool)
+                                     WorkerPool& pool, AdoptionController& adoptions)
     : context_(context), tasks_(tasks), lifecycle_(lifecycle), endpoints_(endpoints), watch_(watch),
-      pool_(pool) {}
+      pool_(pool), adoptions_(adoptions) {}
 
 // ---------------------------------------------------------------- the planner's decisions
 
@@ -75,10 +72,7 @@
                   {"put_off", client == nullptr}});
     task->migration_pending = client == nullptr;
     if (!client) return;  // nobody would place it anew: it stays until its client is back
-    Message message;
-    message.type = MessageType::migrate;
-    message.task = task->id;
-    client->write(message);
+    client->send_migration(task->id);
     context_.rounds.defer([this, number] {
         InFlightTask* remaining = tasks_.find(number);
         if (remaining && remaining->running) cancel_running(*remaining);
@@ -107,73 +101,6 @@
     lifecycle_.end_attempt(task, AttemptOutcome::cancelled, OutcomeReason::unspecified, {}, true);
 }
 
-// ---------------------------------------------------------------- recovery
-
-bool AttemptController::adopt(const RunningTaskReport& report, ClientConnection* client) {
-    const PlacementRequest& request = report.request;
-    if (InFlightTask* known = tasks_.find_by_id(report.id)) {
-        report_known(*known, report, client);
-        return true;
-    }
-    const EndpointList::Endpoint* endpoint = endpoints_.find(request.running_on);
-    if (!endpoint) return false;
-    PooledWorker& worker = *endpoint->worker;
-    const InFlightTask* earlier = tasks_.find_running(request.task_name);
-    const Nanos now = context_.now();
-    const std::uint64_t service = stable_hash(request.service);
-    ledger::TaskRecord& record =
-        context_.ledger.adopt_task(now, request.task_name, service, request.resources, *endpoint->record);
-    InFlightTask& task = tasks_.create(report.id, record, client, report.client_address);
-    task.name = request.task_name;
-    task.liveness.on_reported(report.since);
-    task.supersedes = earlier ? earlier->id : 0;
-    context_.planner().adopt(now, record.number, service, request.resources, worker.number());
-    lifecycle_.start_running(task, worker);
-    ++context_.statistics.tasks_adopted;
-    const std::optional<platform_codec::Cause> cause = worker.recent_end_of(report.id);
-    if (cause || worker.has_mentioned(report.id)) worker.on_task_message(task);
-    context_.log(log::Level::info, "task_adopted",
-                 {{"task", request.task_name},
-                  {"id", report.id},
-                  {"worker", request.running_on},
-                  {"client", report.client_address},
-                  {"connected", client != nullptr},
-                  {"confirmed", task.liveness.is_confirmed()},
-                  {"ended", cause.has_value()}});
-    if (cause) {
-        const bool completed = *cause == platform_codec::Cause::ok;
-        on_task_ended(task, completed ? AttemptOutcome::completed : AttemptOutcome::reset,
-                      OutcomeReason::unspecified, *cause, {});
-    }
-    context_.rounds.schedule();
-    return true;
-}
-
-// From the same client on another connection: the one before may be dead without its end being known.
-void AttemptController::report_known(InFlightTask& task, const RunningTaskReport& report,
-                                     ClientConnection* client) {
-    const bool same_client = task.client_address == report.client_address;
-    context_.log(log::Level::info, "task_already_known",
-                 {{"task", report.request.task_name},
-                  {"id", report.id},
-                  {"client", report.client_address},
-                  {"same_client", same_client},
-                  {"running", task.running}});
-    if (same_client && client && task.running) lifecycle_.move_to_connection(task, *client);
-}
-
-void AttemptController::on_report_dropped(const RunningTaskReport& report, ClientConnection* client) {
-    ++context_.statistics.reports_dropped;
-    context_.log(log::Level::warning, "task_report_dropped",
-                 {{"task", report.request.task_name},
-                  {"id", report.id},
-                  {"worker", report.request.running_on},
-                  {"client", report.client_address},
-                  {"waited_ms", (context_.now() - report.since) / kMillisecond}});
-    lifecycle_.notify_ended({report.id, platform_codec::Cause::reset, report.client_address, context_.now()},
-                            client);
-}
-
 // ---------------------------------------------------------------- what workers say
 
 bool AttemptController::may_send(InFlightTask& task) {
@@ -242,7 +169,9 @@
                       {"cause", static_cast<int>(cause)},
                       {"connected", lifecycle_.connection_of(task) != nullptr}});
     task.worker->remove_running(task, false);
-    if (cause != platform_codec::Cause::cancelled) lifecycle_.notify_task_ended(task, cause);
+    // Also where it was cancelled: what this placer cancels it no longer holds, so its client has not asked
+    // for that here, and waits.
+    lifecycle_.notify_task_ended(task, cause);
     lifecycle_.end_attempt(task, outcome, reason, report, true);
 }
 
@@ -256,31 +185,7 @@
     on_task_ended(task, AttemptOutcome::reset, OutcomeReason::unspecified, platform_codec::Cause::reset, {});
 }
 
-void AttemptController::on_task_confirmed(InFlightTask& task) {
-    if (task.client && task.counted_for_client) task.client->confirm_running_task();
-    context_.log(log::Level::debug, "task_confirmed",
-                 {{"task", task.name}, {"id", task.id}, {"worker", task.worker->name()}});
-    InFlightTask* earlier = tasks_.find_by_id(std::exchange(task.supersedes, 0));
-    if (earlier && earlier->running && earlier->name == task.name) supersede(*earlier, task);
-}
-
-// The worker knows the task by the later id and speaks of it under no other, so the earlier one would never
-// end. A client that gave it another id itself waits for that one alone.
-void AttemptController::supersede(InFlightTask& earlier, const InFlightTask& later) {
-    ++context_.statistics.running_tasks_lost;
-    context_.log(log::Level::info, "task_lost",
-                 {{"task", earlier.name},
-                  {"id", earlier.id},
-                  {"worker", earlier.worker->name()},
-                  {"reason", ledger::to_string(ledger::TaskLossReason::superseded)},
-                  {"later_id", later.id}});
-    const bool is_copy =
-        earlier.worker != later.worker && earlier.record->queue_group->effect == Effect::idempotent;
-    if (earlier.client_address != later.client_address)
-        lifecycle_.notify_task_ended(earlier, platform_codec::Cause::reset);
-    earlier.worker->remove_running(earlier, is_copy);
-    lifecycle_.end_attempt(earlier, AttemptOutcome::cancelled, OutcomeReason::unspecified, {}, true);
-}
+void AttemptController::on_task_confirmed(InFlightTask& task) { adoptions_.on_task_confirmed(task); }
 
 void AttemptController::on_task_metric(InFlightTask& task, std::string_view metric, double value) {
     const Nanos now = context_.now();
--- a/src/platform/attempt_controller.h
+++ b/src/platform/attempt_controller.h
@@ -1,18 +1,18 @@
 // Attempts and running tasks: carries out what the planner decides about them, and tells it what became of
 // them.
 #pragma once
+#include "platform/adoption_controller.h"
 #include "platform/discovery_watch.h"
 #include "platform/endpoint_list.h"
 #include "platform/task_lifecycle.h"
-#include "platform/task_recovery.h"
 #include "platform/worker_handler.h"
 
 namespace whinpost::platform {
 
-class AttemptController final : public WorkerHandler, public AttemptTimeoutHandler, public TaskAdopter {
+class AttemptController final : public WorkerHandler, public AttemptTimeoutHandler {
 public:
     AttemptController(const ServerContext&, TaskTable&, TaskLifecycle&, const EndpointList&,
-                      const DiscoveryWatch&, WorkerPool&);
+                      const DiscoveryWatch&, WorkerPool&, AdoptionController&);
 
     // The planner's decisions, called from within its round; without effect where the task is gone.
     void place(planner::TaskNumber, planner::WorkerNumber, Nanos timeout);
@@ -23,8 +23,6 @@
     void resume_migrations(const ClientConnection&);
     // The client no longer wants its running task.
     void cancel_running(InFlightTask&);
-    bool adopt(const RunningTaskReport&, ClientConnection*) override;
-    void on_report_dropped(const RunningTaskReport&, ClientConnection*) override;
 
     bool may_send(InFlightTask&) override;
     void on_attempt_accepted(InFlightTask&, std::string_view description) override;
@@ -39,8 +37,6 @@
     void on_attempt_timeout(InFlightTask&) override;
 
 private:
-    void report_known(InFlightTask&, const RunningTaskReport&, ClientConnection*);
-    void supersede(InFlightTask& earlier, const InFlightTask& later);
     void defer_not_sent(planner::TaskNumber);
 
     const ServerContext& context_;
@@ -49,6 +45,7 @@
     const EndpointList& endpoints_;
     const DiscoveryWatch& watch_;
     WorkerPool& pool_;
+    AdoptionController& adoptions_;
 };
 
 }  // namespace whinpost::platform
--- a/src/platform/client_connection.cpp
+++ b/src/platform/client_connection.cpp
@@ -46,14 +46,27 @@
 // Guards against a close that crosses the release: a client that acknowledges releases, and has not
 // acknowledged this one before its connection went, has not received it.
 void ClientConnection::send_task_ended(std::uint64_t id, platform_codec::Cause cause) {
+    remember_unacknowledged({id, cause, server_.loop_.now(), false});
+    send_release(id, cause);
+}
+
+// Where the connection breaks at that moment the client still waits: its task is then over, not moved.
+void ClientConnection::send_migration(std::uint64_t id) {
+    remember_unacknowledged({id, platform_codec::Cause::reset, server_.loop_.now(), true});
+    Message message;
+    message.type = MessageType::migrate;
+    message.task = id;
+    write(message);
+}
+
+void ClientConnection::remember_unacknowledged(UnacknowledgedRelease release) {
     const std::size_t limit = server_.clients_acknowledge_ ? kMaxUnacknowledged : kMaxUnacknowledgedAtFirst;
     if (unacknowledged_releases_.size() >= limit) {
         server_.log_(server_.clients_acknowledge_ ? log::Level::warning : log::Level::debug,
                      "release_forgotten", {{"client", peer_}, {"id", unacknowledged_releases_.front().id}});
         unacknowledged_releases_.erase(unacknowledged_releases_.begin());
     }
-    unacknowledged_releases_.push_back({id, cause, server_.loop_.now()});
-    send_release(id, cause);
+    unacknowledged_releases_.push_back(release);
 }
 
 void ClientConnection::write(const Message& message) {
--- a/src/platform/client_connection.h
+++ b/src/platform/client_connection.h
@@ -22,6 +22,7 @@
         std::uint64_t id;
         platform_codec::Cause cause;
         Nanos since;
+        bool is_migration;  // sent as such; clients do not acknowledge it
     };
 
     ClientConnection(ClientServer&, std::unique_ptr<net::Stream>, Admission);
@@ -35,6 +36,8 @@
     void send_release(std::uint64_t id, platform_codec::Cause cause, Nanos retry_after = 0);
     // The end of a running task; kept until the client acknowledges it.
     void send_task_ended(std::uint64_t id, platform_codec::Cause cause);
+    // The running task is to be placed anew, by the client.
+    void send_migration(std::uint64_t id);
     // Ends of tasks that may not have reached the client: to be asked for once it has left.
     const std::vector<UnacknowledgedRelease>& unacknowledged_releases() const {
         return unacknowledged_releases_;
@@ -68,6 +71,7 @@
     };
     std::size_t on_received(std::string_view) override;
     void on_closed(net::CloseReason) override;
+    void remember_unacknowledged(UnacknowledgedRelease);
     void on_message(const platform_codec::Message&, Nanos since);
     void reply_to_health_check(const platform_codec::Message&);
     void log_message(const platform_codec::Message&) const;
--- a/src/platform/client_requests.cpp
+++ b/src/platform/client_requests.cpp
@@ -15,6 +15,9 @@
 // with theirs, in either order.
 constexpr Nanos kDeadlineGrace = 3 * kMillisecond;
 
+// A migration that was written so long before its connection broke has reached the client.
+constexpr Nanos kMigrationDelivery = kSecond;
+
 }  // namespace
 
 void ClientRequests::on_place_task(ClientConnection& client, const Message& message, Nanos since) {
@@ -117,7 +120,9 @@
 
 void ClientRequests::keep_unacknowledged_releases(ClientConnection& left) {
     const std::string& address = left.client_address();
+    const Nanos now = parts_.context.now();
     for (const ClientConnection::UnacknowledgedRelease& release : left.unacknowledged_releases()) {
+        if (release.is_migration && now - release.since > kMigrationDelivery) continue;
         ClientConnection* other = parts_.clients.find_by_address(address);
         parts_.context.log(log::Level::info, "release_unacknowledged",
                            {{"id", release.id}, {"client", address}, {"sent_again", other != nullptr}});
--- a/src/platform/platform_server.h
+++ b/src/platform/platform_server.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "platform/adoption_controller.h"
 #include "platform/attempt_controller.h"
 #include "platform/client_requests.h"
 #include "platform/client_server.h"
@@ -99,6 +100,7 @@
     PendingReleases pending_releases_;
     TaskLifecycle lifecycle_;
     TaskAnswerer answerer_;
+    AdoptionController adoptions_;
     AttemptController attempts_;
     TaskRecovery recovery_;
     DrainController drain_;
--- a/tests/platform_recovery_test.cpp
+++ b/tests/platform_recovery_test.cpp
@@ -74,10 +74,14 @@
     rig.worker.last_connection().answer(1);
     rig.run(20 * kMillisecond);
     TestClient &again = rig.connect_client(1), &stranger = rig.connect_client(2);
+    TestClient& neighbour = rig.connect_client(1);  // another client at the same address
     rig.request_placement(again, 1, "free", 4294967, ";at:h");
     rig.request_placement(stranger, 1, "free", 4294967, ";at:h");
+    neighbour.send_bytes(place_task_bytes(1, "free", 4294967, ";at:h", 77));
     rig.run(3 * kSecond);
     CHECK_FALSE(again.closed);
+    CHECK(neighbour.closed);
+    CHECK(neighbour.received.empty());
     CHECK(stranger.closed);  // it is told nothing of another's task, and not kept
     rig.worker.last_connection().release(1, platform_codec::Cause::ok);
     rig.run(20 * kMillisecond);
--- a/tests/task_liveness_test.cpp
+++ b/tests/task_liveness_test.cpp
@@ -57,6 +57,7 @@
     liveness.on_interrupted(kStart + 5 * kSecond);  // it may be over since the first
     SECTION("the list is not current") {}
     SECTION("only a later process has shown itself") { liveness.on_process_confirmed(kStart + 1); }
+    CHECK(liveness.check(kStart + TaskLiveness::kListDelay - 1, true) == Verdict::keep);  // too early to tell
     CHECK(liveness.check(kEnd - 1, false) == Verdict::keep);
     CHECK(liveness.check(kEnd, false) == Verdict::interrupted);
 }
@@ -69,3 +70,11 @@
     if (refused) liveness.on_dial_refused();
     CHECK(liveness.check(kEnd, true) == (refused ? Verdict::interrupted : Verdict::keep));
 }
+
+TEST_CASE("a list that is current at any moment in time is enough, though it is not at the last") {
+    TaskLiveness liveness;
+    liveness.on_interrupted(kStart);
+    CHECK(liveness.check(kStart + TaskLiveness::kListDelay, true) == Verdict::keep);
+    CHECK(liveness.check(kEnd, false) == Verdict::keep);
+    CHECK_FALSE(liveness.in_doubt());
+}
