--- a/src/platform/adoption_controller.cpp
+++ b/src/platform/adoption_controller.cpp
@@ -1,12 +1,21 @@
 #include "platform/adoption_controller.h"
 
+#include <algorithm>
 #include <optional>
+#include <string>
 #include <utility>
+#include <vector>
 
 #include "platform/pooled_worker.h"
 #include "whinpost/stable_hash.h"
 
 namespace whinpost::platform {
+namespace {
+
+// Of one task: a start has few moments in which they can cross, and misbehaving clients may send many.
+constexpr std::size_t kMaxOtherReporters = 4;
+
+}  // namespace
 
 bool AdoptionController::adopt(const RunningTaskReport& report, ClientConnection* client) {
     const PlacementRequest& request = report.request;
@@ -59,6 +68,15 @@
                   {"client", report.client_address},
                   {"same_report", is_same}});
     if (is_same && client) lifecycle_.move_to_connection(task, *client);
+    else if (task.running && task.record->in_flight->adopted) add_reporter(task, report.client_address);
+}
+
+// The first report may have been another client's, just after a start.
+void AdoptionController::add_reporter(InFlightTask& task, const std::string& client_address) {
+    std::vector<std::string>& others = task.other_client_addresses;
+    const bool is_known = client_address == task.client_address ||
+                          std::find(others.begin(), others.end(), client_address) != others.end();
+    if (!is_known && others.size() < kMaxOtherReporters) others.push_back(client_address);
 }
 
 // Its worker has said so before the report came.
--- a/src/platform/adoption_controller.h
+++ b/src/platform/adoption_controller.h
@@ -1,6 +1,8 @@
 // Tasks that run already when a client names them: taken over from another placer, or from this one's last
 // life.
 #pragma once
+#include <string>
+
 #include "platform/endpoint_list.h"
 #include "platform/task_lifecycle.h"
 #include "platform/task_recovery.h"
@@ -20,6 +22,7 @@
 
 private:
     void report_known(InFlightTask&, const RunningTaskReport&, ClientConnection*);
+    static void add_reporter(InFlightTask&, const std::string& client_address);
     void end_at_once(InFlightTask&, platform_codec::Cause cause);
     void supersede(InFlightTask& earlier, const InFlightTask& later);
 
--- a/src/platform/in_flight_task.h
+++ b/src/platform/in_flight_task.h
@@ -2,6 +2,7 @@
 #pragma once
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "ledger/ledger.h"
 #include "ledger/task_liveness.h"
@@ -62,6 +63,9 @@
     bool running = false;
     bool counted_for_client = false;  // among the running tasks of its client's connection
     ledger::TaskLiveness liveness;    // valid while it runs
+    // Of an adopted task: other clients that reported the same id later; who of them waits for it nobody can
+    // tell.
+    std::vector<std::string> other_client_addresses;
     std::uint64_t supersedes = 0;    // the id under which it ran before, if this one is its worker's; 0: none
     bool migration_pending = false;  // to be migrated once its client has a connection
     // A note shows that the attempt in flight runs, though no answer has come.
--- a/src/platform/task_lifecycle.cpp
+++ b/src/platform/task_lifecycle.cpp
@@ -1,5 +1,6 @@
 #include "platform/task_lifecycle.h"
 
+#include <string>
 #include <utility>
 
 #include "platform/pooled_worker.h"
@@ -65,7 +66,11 @@
 }
 
 void TaskLifecycle::notify_task_ended(InFlightTask& task, platform_codec::Cause cause) {
-    notify_ended({task.id, cause, task.client_address, context_.now()}, task.client);
+    const Nanos now = context_.now();
+    notify_ended({task.id, cause, task.client_address, now}, task.client);
+    for (const std::string& address : task.other_client_addresses)
+        if (ClientConnection* other = clients_.find_by_address(address))
+            notify_ended({task.id, cause, address, now}, other);
 }
 
 void TaskLifecycle::notify_ended(const PendingRelease& release, ClientConnection* connection) {
--- a/tests/platform_recovery_test.cpp
+++ b/tests/platform_recovery_test.cpp
@@ -89,3 +89,16 @@
     CHECK(rig.client.count(MessageType::release, 1) == 0);
     CHECK(stranger.received.empty());
 }
+
+TEST_CASE("the end of a task is told to each client that reported it, whoever came first after a start") {
+    SingleWorkerRig rig;
+    TestClient &first = rig.connect_client(2), &owner = rig.connect_client(3);
+    rig.request_placement(first, 1, "free", 4294967, ";at:h");
+    owner.send_plain_check();
+    owner.send_bytes(place_task_bytes(1, "free", 4294967, ";at:h", 77));
+    rig.run(20 * kMillisecond);
+    rig.worker.last_connection().release(1, platform_codec::Cause::ok);
+    rig.run(20 * kMillisecond);
+    CHECK(first.count(MessageType::release, 1) == 1);
+    CHECK(owner.count(MessageType::release, 1) == 1);
+}
