--- a/tests/support/process_rig.h
+++ b/tests/support/process_rig.h
@@ -78,19 +78,21 @@
         for (std::unique_ptr<SocketPeer>& accepted : listener_->connections)
             connections_.push_back(std::make_unique<Connection>(Connection{std::move(accepted), 0}));
         listener_->connections.clear();
-        for (const auto& connection : connections_) serve(*connection);
+        for (const auto& connection : connections_)
+            while_it_lasts(*connection->peer, [&] { serve(*connection); });
         std::erase_if(connections_, [](const auto& connection) {
             return connection->peer->peer_closed || connection->peer->was_reset;
         });
         if (connections_.empty()) return;
         SocketPeer& any = *connections_.back()->peer;
-        if (reports_handed_over)
-            for (const std::uint64_t id : std::exchange(unreported_, {}))
-                if (running.contains(id)) report_use(any, id);
-        for (const auto& [id, cause] : std::exchange(unsent_ends_, {})) {
-            any.release(id, cause);
-            sent_ends_[id] = cause;
-        }
+        const auto ends = std::exchange(unsent_ends_, {});
+        sent_ends_.insert(ends.begin(), ends.end());
+        while_it_lasts(any, [&] {
+            if (reports_handed_over)
+                for (const std::uint64_t id : std::exchange(unreported_, {}))
+                    if (running.contains(id)) report_use(any, id);
+            for (const auto& [id, cause] : ends) any.release(id, cause);
+        });
     }
 
 private:
@@ -99,6 +101,14 @@
         std::size_t handled = 0;
     };
 
+    // The placer may be killed at any moment.
+    static void while_it_lasts(SocketPeer& peer, const std::function<void()>& action) {
+        try {
+            action();
+        } catch (const std::runtime_error&) {
+            peer.was_reset = true;
+        }
+    }
     static void report_use(SocketPeer& peer, std::uint64_t id) {
         Message note;
         note.type = MessageType::note;
--- a/tests/support/process_soak.h
+++ b/tests/support/process_soak.h
@@ -412,7 +412,11 @@
         if (client.running.empty() || !connect(client)) return;
         for (auto& [id, task] : client.running) {
             const std::string name = task.worker ? task.worker->name : "w0";
-            client.connection.send_bytes(place_task_bytes(id, "free", 4'294'967, ";at:" + name));
+            try {
+                client.connection.send_bytes(place_task_bytes(id, "free", 4'294'967, ";at:" + name));
+            } catch (const std::runtime_error&) {
+                return;  // it broke; the process is about to go again
+            }
             if (task.worker) task.worker->on_handed_over(id);
             task.known_since = now();
         }
