--- a/src/platform/attempt_controller.cpp
+++ b/src/platform/attempt_controller.cpp
@@ -69,6 +69,8 @@
                  {{"task", task->name},
                   {"id", task->id},
                   {"worker", task->worker->name()},
+                  {"client", client ? client->peer() : task->client_address},
+                  {"own_connection", task->client != nullptr},
                   {"put_off", client == nullptr}});
     task->migration_pending = client == nullptr;
     if (!client) return;  // nobody would place it anew: it stays until its client is back
--- a/src/platform/client_connection.cpp
+++ b/src/platform/client_connection.cpp
@@ -176,11 +176,7 @@
         case MessageType::health_check:
             return reply_to_health_check(message);
         case MessageType::release_ack:
-            server_.clients_acknowledge_ = true;
-            std::erase_if(unacknowledged_releases_, [&message](const UnacknowledgedRelease& release) {
-                return release.id == message.task;
-            });
-            return;
+            return on_release_ack(message.task);
         case MessageType::progress:
             return;
         case MessageType::answer:
@@ -191,6 +187,21 @@
     }
 }
 
+void ClientConnection::on_release_ack(std::uint64_t id) {
+    server_.clients_acknowledge_ = true;
+    const auto release =
+        std::find_if(unacknowledged_releases_.begin(), unacknowledged_releases_.end(),
+                     [id](const UnacknowledgedRelease& candidate) { return candidate.id == id; });
+    const bool known = release != unacknowledged_releases_.end();
+    server_.log_(log::Level::debug, known ? "release_acknowledged" : "release_ack_unknown",
+                 {{"id", id},
+                  {"client", peer_},
+                  {"after_ms", known ? (server_.loop_.now() - release->since) / kMillisecond : 0}});
+    if (!known) return;
+    ++server_.statistics_.releases_acknowledged;
+    unacknowledged_releases_.erase(release);
+}
+
 void ClientConnection::reply_to_health_check(const Message& check) {
     Message reply;
     reply.type = MessageType::health_check_reply;
--- a/src/platform/client_connection.h
+++ b/src/platform/client_connection.h
@@ -61,6 +61,7 @@
         confirmed_tasks_ -= confirmed;
     }
     const std::string& client_address() const { return client_address_; }  // without the port
+    const std::string& peer() const { return peer_; }                      // with the port
 
 private:
     friend class ClientServer;
@@ -72,6 +73,7 @@
     std::size_t on_received(std::string_view) override;
     void on_closed(net::CloseReason) override;
     void remember_unacknowledged(UnacknowledgedRelease);
+    void on_release_ack(std::uint64_t id);
     void on_message(const platform_codec::Message&, Nanos since);
     void reply_to_health_check(const platform_codec::Message&);
     void log_message(const platform_codec::Message&) const;
--- a/src/platform/client_requests.cpp
+++ b/src/platform/client_requests.cpp
@@ -92,6 +92,12 @@
                            {{"id", release.id},
                             {"client", release.client_address},
                             {"waited_ms", (now - release.since) / kMillisecond}});
+        parts_.context.log(log::Level::info, "release_written",
+                           {{"id", release.id},
+                            {"cause", static_cast<int>(release.cause)},
+                            {"client", client.peer()},
+                            {"own_connection", false},
+                            {"age_ms", (now - release.since) / kMillisecond}});
         client.send_task_ended(release.id, release.cause);
     }
     parts_.attempts.resume_migrations(client);
@@ -125,7 +131,12 @@
         if (release.is_migration && now - release.since > kMigrationDelivery) continue;
         ClientConnection* other = parts_.clients.find_by_address(address);
         parts_.context.log(log::Level::info, "release_unacknowledged",
-                           {{"id", release.id}, {"client", address}, {"sent_again", other != nullptr}});
+                           {{"id", release.id},
+                            {"client", left.peer()},
+                            {"sent_again", other != nullptr},
+                            {"sent_to", other ? other->peer() : "-"},
+                            {"age_ms", (now - release.since) / kMillisecond}});
+        parts_.context.statistics.releases_repeated += other != nullptr;
         if (other) other->send_task_ended(release.id, release.cause);
         else parts_.pending_releases.add({release.id, release.cause, address, release.since});
     }
--- a/src/platform/server_statistics.cpp
+++ b/src/platform/server_statistics.cpp
@@ -30,6 +30,8 @@
          {"attempts_retried", statistics.attempts_retried},
          {"running_tasks_lost", statistics.running_tasks_lost},
          {"releases_sent", statistics.releases_sent},
+         {"releases_repeated", statistics.releases_repeated},
+         {"releases_acknowledged", clients.releases_acknowledged},
          {"releases_pending", statistics.releases_pending},
          {"releases_dropped", statistics.releases_dropped}});
 }
--- a/src/platform/task_lifecycle.cpp
+++ b/src/platform/task_lifecycle.cpp
@@ -74,9 +74,16 @@
 }
 
 void TaskLifecycle::notify_ended(const PendingRelease& release, ClientConnection* connection) {
+    const bool own_connection = connection != nullptr;
     if (!connection) connection = clients_.find_by_address(release.client_address);
     if (connection) {
         ++context_.statistics.releases_sent;
+        context_.log(own_connection ? log::Level::debug : log::Level::info, "release_written",
+                     {{"id", release.id},
+                      {"cause", static_cast<int>(release.cause)},
+                      {"client", connection->peer()},
+                      {"own_connection", own_connection},
+                      {"age_ms", (context_.now() - release.since) / kMillisecond}});
         return connection->send_task_ended(release.id, release.cause);
     }
     ++context_.statistics.releases_pending;
