--- a/tests/support/process_rig.h
+++ b/tests/support/process_rig.h
@@ -11,6 +11,7 @@
 
 #include "support/placer_process.h"
 #include "support/platform_sockets_rig.h"
+#include "support/tcp_proxy.h"
 
 namespace whinpost {
 
@@ -29,9 +30,13 @@
         : name(std::move(worker_name)),
           ip_(INADDR_LOOPBACK + kWorkerNetwork + static_cast<std::uint32_t>(host)),
           listener_(std::make_unique<ListeningSocket>(kBacklog, 0, ip_)), port_(listener_->port()),
-          address_(listener_->address()) {}
+          address_(listener_->address()) {
+        listed_address = address_;
+    }
 
     const std::string& address() const { return address_; }
+    std::uint32_t ip() const { return ip_; }
+    int port() const { return port_; }
     // One task that runs there though the placer under test never sent it.
     void run(std::uint64_t id) { running.insert(id); }
     // A placer was handed the task: its figures are reported on a connection of that placer.
@@ -65,6 +70,7 @@
     bool reports_handed_over = true;
     std::int64_t started_at_ms = 0;
     const std::string name;
+    std::string listed_address;  // its own, or that of a proxy before it
     std::set<std::uint64_t> running, cancelled;
     std::size_t attempts = 0;
 
@@ -91,8 +97,17 @@
             if (reports_handed_over)
                 for (const std::uint64_t id : std::exchange(unreported_, {}))
                     if (running.contains(id)) report_use(any, id);
-            for (const auto& [id, cause] : ends) any.release(id, cause);
         });
+        for (const auto& [id, cause] : ends) {
+            SocketPeer& on = set_up_connection(id, any);
+            while_it_lasts(on, [&, task = id, why = cause] { on.release(task, why); });
+        }
+    }
+    // Its use is said again, on the connection on which it was set up.
+    void report_use_of(std::uint64_t id) {
+        if (connections_.empty()) return;
+        SocketPeer& on = set_up_connection(id, *connections_.back()->peer);
+        while_it_lasts(on, [&] { report_use(on, id); });
     }
 
 private:
@@ -101,6 +116,14 @@
         std::size_t handled = 0;
     };
 
+    // Where that is gone: `other`. What was ended there before is said again on the next one that is opened.
+    SocketPeer& set_up_connection(std::uint64_t id, SocketPeer& other) const {
+        const auto set_up = set_up_on_.find(id);
+        if (set_up == set_up_on_.end()) return other;
+        for (const auto& connection : connections_)
+            if (connection->peer.get() == set_up->second) return *connection->peer;
+        return other;
+    }
     // The placer may be killed at any moment.
     static void while_it_lasts(SocketPeer& peer, const std::function<void()>& action) {
         try {
@@ -126,6 +149,7 @@
                 ++attempts;
                 if (!answers_attempts) continue;
                 running.insert(message.task);
+                set_up_on_[message.task] = connection.peer.get();
                 connection.peer->answer(message.task, name);
                 report_use(*connection.peer, message.task);
             } else if (message.type == MessageType::release) {
@@ -151,6 +175,7 @@
     std::string address_;
     std::vector<std::unique_ptr<Connection>> connections_;
     std::set<std::uint64_t> unreported_;
+    std::map<std::uint64_t, const SocketPeer*> set_up_on_;
     std::map<std::uint64_t, platform_codec::Cause> unsent_ends_, sent_ends_;
 };
 
@@ -236,7 +261,7 @@
         return *workers.back();
     }
     void publish(const ModelWorker& worker, const char* state = "active") {
-        discovery.publish(R"({"host":")" + worker.name + R"(","dial":")" + worker.address() +
+        discovery.publish(R"({"host":")" + worker.name + R"(","dial":")" + worker.listed_address +
                           R"(","site":"a","class":"std","block":1,"health":")" + state +
                           R"(","share":1,"born_ms":)" + std::to_string(worker.started_at_ms) +
                           R"(,"free":[16,32]})");
@@ -289,9 +314,32 @@
             return client.count(MessageType::answer, id) == 1;
         });
     }
+    // Between clients and the placer: all that pass it come from one address, that of clients with host 1.
+    TcpProxy& add_client_proxy() {
+        proxies.push_back(std::make_unique<TcpProxy>(kProxyIp, kPlacerIp, port_));
+        return *proxies.back();
+    }
+    // Between the placer and that worker, which is listed at the proxy's address from now on.
+    TcpProxy& add_worker_proxy(ModelWorker& worker) {
+        proxies.push_back(std::make_unique<TcpProxy>(kProxyIp, worker.ip(), worker.port()));
+        worker.listed_address = proxies.back()->address();
+        publish(worker);
+        return *proxies.back();
+    }
+    // Through the proxy.
+    SocketPeer connect_client(TcpProxy& proxy) {
+        SocketPeer peer(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+        const sockaddr_in to = loopback(proxy.port(), kProxyIp);
+        require(::connect(peer.descriptor(), reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0,
+                "connect to the proxy");
+        const std::size_t before = proxy.connections.size();
+        run_until("the proxy accepts", [&] { return proxy.connections.size() > before; });
+        return peer;
+    }
     void step() {
         discovery.step();
         for (const auto& worker : workers) worker->step();
+        for (const auto& proxy : proxies) proxy->step();
         usleep(500);
     }
     void run_for(Nanos by) {
@@ -315,10 +363,12 @@
 
     ModelDiscovery discovery;
     std::vector<std::unique_ptr<ModelWorker>> workers;
+    std::vector<std::unique_ptr<TcpProxy>> proxies;
     std::unique_ptr<PlacerProcess> placer;
 
 private:
     static constexpr std::uint32_t kPlacerIp = INADDR_LOOPBACK + 0x200;  // 127.0.2.1
+    static constexpr std::uint32_t kProxyIp = INADDR_LOOPBACK + 0x300;   // 127.0.3.1
     int port_ = 0;
 };
 
