--- a/src/platform/adoption_controller.cpp
+++ b/src/platform/adoption_controller.cpp
@@ -74,16 +74,35 @@
                   {"own_connection", client && client == task.client},
                   {"same_report", is_same}});
     if (is_same && client && !task.client) return lifecycle_.move_to_connection(task, *client);
-    const bool may_wait = is_same || (task.running && task.record->in_flight->adopted);
-    if (may_wait && (!client || client != task.client)) add_reporter(task, report, client);
-    if (is_same && client && client != task.client)
-        repeated_reports_.push_back({task.id, client->number(), context_.now()});
+    const bool is_adopted = task.running && task.record->in_flight->adopted;
+    const bool is_first = client && client == task.client;
+    if (is_first || (!is_same && !is_adopted)) return;
+    add_reporter(task, report, client);
+    if (is_adopted && client && is_likelier_owner(*client, task)) swap_owner(task, *client);
+    else if (is_same && client) repeated_reports_.push_back({task.id, client->number(), context_.now()});
+}
+
+// Of two clients that report one task, the one that is known to report what is true.
+bool AdoptionController::is_likelier_owner(const ClientConnection& client, const InFlightTask& task) const {
+    if (!task.client) return true;
+    const int confirmed_by_this_task = task.liveness.is_confirmed() ? 1 : 0;
+    return client.confirmed_tasks() > 0 && task.client->confirmed_tasks() <= confirmed_by_this_task;
+}
+
+// The end is owed to both; the connection that is kept for it is the new one.
+void AdoptionController::swap_owner(InFlightTask& task, ClientConnection& client) {
+    std::erase_if(task.other_reporters,
+                  [&client](const auto& other) { return other.connection == client.number(); });
+    if (task.client)
+        task.other_reporters.push_back({task.client_address, task.client->number(), context_.now()});
+    task.client_address = client.client_address();
+    lifecycle_.move_to_connection(task, client);
 }
 
 // The first report may have been another client's, just after a start. The latest replaces an earlier one of
 // the same address whose connection has gone.
 void AdoptionController::add_reporter(InFlightTask& task, const RunningTaskReport& report,
-                                      ClientConnection* client) {
+                                      const ClientConnection* client) {
     const ledger::ConnectionNumber connection = client ? client->number() : ledger::kNoConnection;
     std::vector<InFlightTask::OtherReporter>& others = task.other_reporters;
     const bool is_known = std::any_of(others.begin(), others.end(), [connection](const auto& other) {
--- a/src/platform/adoption_controller.h
+++ b/src/platform/adoption_controller.h
@@ -32,7 +32,9 @@
         Nanos reported_at;
     };
     void report_known(InFlightTask&, const RunningTaskReport&, ClientConnection*);
-    void add_reporter(InFlightTask&, const RunningTaskReport&, ClientConnection*);
+    void add_reporter(InFlightTask&, const RunningTaskReport&, const ClientConnection*);
+    bool is_likelier_owner(const ClientConnection&, const InFlightTask&) const;
+    void swap_owner(InFlightTask&, ClientConnection&);
     // Whether the connection on which the task was reported before may be dead.
     bool may_have_moved(const RepeatedReport&) const;
     void supersede(InFlightTask& earlier, const InFlightTask& later);
--- a/src/platform/attempt_controller.h
+++ b/src/platform/attempt_controller.h
@@ -36,7 +36,7 @@
     void on_task_confirmed(InFlightTask&) override;
     bool is_endpoint_list_current() const override { return watch_.is_current(); }
     bool is_client_trusted(const InFlightTask& task) const override {
-        return task.client && task.client->has_confirmed_task();
+        return task.client && task.client->confirmed_tasks() > 0;
     }
     void on_task_metric(InFlightTask&, std::string_view metric, double value) override;
     void on_load_report(PooledWorker&, const LoadReport&) override;
--- a/src/platform/client_connection.h
+++ b/src/platform/client_connection.h
@@ -44,8 +44,8 @@
     Nanos last_received_at() const { return last_received_at_; }
     // Anything was written to it, ever, but for what was only offered.
     bool was_written_to() const { return was_written_to_; }
-    // A worker has shown that a task which it reported runs.
-    bool has_confirmed_task() const { return confirmed_tasks_ > 0; }
+    // Running tasks whose end is to be sent on it and which their worker has shown to run.
+    int confirmed_tasks() const { return confirmed_tasks_; }
     // What is owed on it is answered first, by the handler; then it is half-closed, and what was written
     // still leaves. From within on_received() this waits until all that was read is answered.
     void end(ClientCloseReason);
--- a/src/platform/client_requests.cpp
+++ b/src/platform/client_requests.cpp
@@ -68,13 +68,18 @@
     if (!task) {
         parts_.context.log(log::Level::debug, "release_unknown",
                            {{"client", client.client_address()}, {"task", id}});
-        return parts_.recovery.cancel(id);
+        return parts_.recovery.cancel(id, client);
+    }
+    if (task->running) {
+        parts_.lifecycle.notify_others_of_end(*task, client, platform_codec::Cause::cancelled);
+        return parts_.attempts.cancel_running(*task);
     }
-    if (task->running) return parts_.attempts.cancel_running(*task);
     // Nobody else's business. Its client may say so on another connection: the one it asked on may be broken,
-    // and this side not know that yet.
-    if (task->client && task->client->client_address() == client.client_address())
-        parts_.answerer.cancel(*task);
+    // and this side not know that yet. Or another client at its address says so, and the one that asked
+    // waits: it has its answer.
+    if (task->client == &client) parts_.answerer.cancel(*task);
+    else if (task->client && task->client->client_address() == client.client_address())
+        parts_.answerer.answer_honestly(*task);
 }
 
 void ClientRequests::on_health_check() {
--- a/src/platform/task_lifecycle.cpp
+++ b/src/platform/task_lifecycle.cpp
@@ -68,11 +68,27 @@
     end_attempt(task, outcome, reason, report, true);
 }
 
-// Who of several that reported it waits for it nobody can tell, so each is owed the end by itself.
+// Who of several that reported it waits for it nobody can tell, so each is owed the end by itself. One whose
+// connection is gone, at the address of the first, is reached by what the first is owed.
 void TaskLifecycle::notify_task_ended(InFlightTask& task, platform_codec::Cause cause) {
     releases_.send_release(task.id, task.name, cause, {task.client_address, task.client});
-    for (const InFlightTask::OtherReporter& other : task.other_reporters)
-        releases_.send_release(task.id, task.name, cause, {other.address, clients_.find(other.connection)});
+    for (const InFlightTask::OtherReporter& other : task.other_reporters) {
+        ClientConnection* connection = clients_.find(other.connection);
+        if (connection || other.address != task.client_address)
+            releases_.send_release(task.id, task.name, cause, {other.address, connection});
+    }
+}
+
+// Clients may end a task on any connection, so the one that does may be another than the one that waits.
+void TaskLifecycle::notify_others_of_end(const InFlightTask& task, const ClientConnection& by,
+                                         platform_codec::Cause cause) {
+    if (task.client && task.client != &by)
+        releases_.send_release(task.id, task.name, cause, {task.client_address, task.client});
+    for (const InFlightTask::OtherReporter& other : task.other_reporters) {
+        ClientConnection* connection = clients_.find(other.connection);
+        if (connection && connection != &by)
+            releases_.send_release(task.id, task.name, cause, {other.address, connection});
+    }
 }
 
 void TaskLifecycle::move_to_connection(InFlightTask& task, ClientConnection& connection) {
--- a/src/platform/task_lifecycle.h
+++ b/src/platform/task_lifecycle.h
@@ -22,6 +22,8 @@
     void end_running(InFlightTask&, AttemptOutcome, OutcomeReason, platform_codec::Cause, const LoadReport&);
     // Tells each client that waits for the running task that it has ended.
     void notify_task_ended(InFlightTask&, platform_codec::Cause cause);
+    // The same where one of them has ended it, on that connection, and is owed nothing.
+    void notify_others_of_end(const InFlightTask&, const ClientConnection& by, platform_codec::Cause cause);
     // The end of the running task is to be sent on that connection of its client.
     void move_to_connection(InFlightTask&, ClientConnection&);
     // Nothing more can come of it. The object is freed at the end of the round.
--- a/src/platform/task_recovery.cpp
+++ b/src/platform/task_recovery.cpp
@@ -39,8 +39,10 @@
         if (pending.client == &client) pending.client = nullptr;
 }
 
-void TaskRecovery::cancel(std::uint64_t id) {
-    std::erase_if(pending_, [id](const PendingReport& pending) { return pending.report.id == id; });
+void TaskRecovery::cancel(std::uint64_t id, const ClientConnection& client) {
+    std::erase_if(pending_, [id, &client](const PendingReport& pending) {
+        return pending.report.id == id && pending.client == &client;
+    });
 }
 
 void TaskRecovery::expire(Nanos now) {
--- a/src/platform/task_recovery.h
+++ b/src/platform/task_recovery.h
@@ -42,8 +42,8 @@
     bool is_waiting_on(const ClientConnection&) const;
     // The connection is not to be used after this call.
     void on_client_left(const ClientConnection&);
-    // Its client no longer wants it.
-    void cancel(std::uint64_t id);
+    // The client no longer wants the task that it reported; another client's report of that id waits on.
+    void cancel(std::uint64_t id, const ClientConnection&);
     // Drops the reports whose worker was not listed in time; their clients are told by the adopter.
     void expire(Nanos now);
 
--- a/tests/platform_clients_test.cpp
+++ b/tests/platform_clients_test.cpp
@@ -90,6 +90,21 @@
     CHECK(rig.planner.open_tasks() == 0);
 }
 
+TEST_CASE("a client whose task another one at its address ends or withdraws is told so") {
+    SingleWorkerRig rig;
+    TestClient& neighbour = rig.connect_client(1);
+    rig.request_placement(rig.client, 1);
+    const bool runs = GENERATE(true, false);
+    if (runs) rig.worker.last_connection().answer(1);
+    rig.run(20 * kMillisecond);
+    neighbour.release(1, platform_codec::Cause::given_up);
+    rig.run(20 * kMillisecond);
+    CHECK(rig.client.count(MessageType::release, 1) == 1);
+    CHECK(neighbour.count(MessageType::release, 1) == 0);
+    CHECK(rig.worker.count(MessageType::release, 1) == 1);
+    CHECK(rig.server.task_count() == 0);
+}
+
 TEST_CASE("bad clients are rejected or closed, cause no attempt, and cost the others nothing") {
     SingleWorkerRig rig;
     TestClient& bad = rig.connect_client(2);
--- a/tests/platform_recovery_test.cpp
+++ b/tests/platform_recovery_test.cpp
@@ -104,3 +104,28 @@
     CHECK(first.count(MessageType::release, 1) == 1);
     CHECK(owner.count(MessageType::release, 1) == 1);
 }
+
+TEST_CASE("of two that report a task, one that reported nothing else true is not kept waiting for its end") {
+    SingleWorkerRig rig;
+    TestClient &first = rig.connect_client(2), &owner = rig.connect_client(2);
+    const auto report = [&rig](TestClient& client, std::uint64_t id, std::uint64_t name) {
+        client.send_bytes(place_task_bytes(id, "free", 4294967, ";at:h", name));
+        rig.run(20 * kMillisecond);
+        Message use;
+        use.type = MessageType::note;
+        use.task = id;
+        use.detail = "cores";
+        use.metric_value = "0.5";
+        rig.worker.last_connection().send(use);
+        rig.run(20 * kMillisecond);
+    };
+    report(first, 1, 77);
+    report(owner, 2, 2);
+    report(owner, 1, 1);
+    rig.run(2800 * kMillisecond);
+    CHECK(first.closed);
+    CHECK_FALSE(owner.closed);
+    rig.worker.last_connection().release(1, platform_codec::Cause::ok);
+    rig.run(20 * kMillisecond);
+    CHECK(owner.count(MessageType::release, 1) == 1);
+}
--- a/tests/task_recovery_test.cpp
+++ b/tests/task_recovery_test.cpp
@@ -75,7 +75,10 @@
     fixture.recovery.on_report(report(1, "w1", 0), fixture.client);
     fixture.recovery.on_report(report(2, "w1", kSecond), fixture.client);
     fixture.recovery.on_report(report(3, "w1", kSecond), fixture.client);
-    fixture.recovery.cancel(2);
+    int other_storage = 0;
+    fixture.recovery.cancel(2, reinterpret_cast<platform::ClientConnection&>(other_storage));
+    CHECK(fixture.recovery.size() == 3);
+    fixture.recovery.cancel(2, fixture.client);
     CHECK(fixture.recovery.size() == 2);
     fixture.recovery.expire(2500 * kMillisecond - 1);
     CHECK(fixture.recovery.size() == 2);
