--- a/src/ledger/release_delivery.cpp
+++ b/src/ledger/release_delivery.cpp
@@ -47,22 +47,13 @@
     return {Step::wait, {}};
 }
 
-ReleaseDelivery::Verdict ReleaseDelivery::check(Nanos now, bool own_acknowledges) {
+ReleaseDelivery::Verdict ReleaseDelivery::check(Nanos now, const OwnConnection& own) {
     const Verdict by_age = check_age(now);
     if (by_age.step != Step::wait || is_open_to_others() || written_to_own_at_ == 0) return by_age;
-    const Nanos unacknowledged_for = now - written_to_own_at_;
-    if (!own_acknowledges && unacknowledged_for > kTransferTime)
+    const Nanos waiting_for = now - written_to_own_at_;
+    if (waiting_for < (own.acknowledges ? kAcknowledgeTimeout : kTransferTime)) return {Step::wait, {}};
+    if (!own.acknowledges && own.heard_at > written_to_own_at_)
         return {Step::settle, DeliveryOutcome::not_acknowledging};
-    if (!own_acknowledges || unacknowledged_for < kAcknowledgeTimeout) return {Step::wait, {}};
-    own_is_mute_ = true;
-    return {Step::write_to_others, {}};
-}
-
-ReleaseDelivery::Verdict ReleaseDelivery::check_migration(Nanos now, Nanos own_heard_at) {
-    const Verdict by_age = check_age(now);
-    if (by_age.step != Step::wait || is_open_to_others() || written_to_own_at_ == 0) return by_age;
-    if (now - written_to_own_at_ <= kTransferTime) return {Step::wait, {}};
-    if (own_heard_at > written_to_own_at_) return {Step::settle, DeliveryOutcome::not_acknowledging};
     own_is_mute_ = true;
     return {Step::write_to_others, {}};
 }
--- a/src/ledger/release_delivery.h
+++ b/src/ledger/release_delivery.h
@@ -21,7 +21,7 @@
 enum class DeliveryOutcome {
     acknowledged,       // by the connection that was owed it
     taken_elsewhere,    // by another connection of the same address, some time ago
-    not_acknowledging,  // written to a connection that stays open and never acknowledges anything
+    not_acknowledging,  // its connection was heard after it, and never acknowledges anything
     resumed,            // the client has asked for the task anew
     expired,            // its client has not come back
     superseded          // too many wait
@@ -32,7 +32,8 @@
 public:
     // A round trip takes some milliseconds. What is over is to be released within 1 s of its worker's word.
     static constexpr Nanos kAcknowledgeTimeout = 300 * kMillisecond;
-    // What was written so long before its connection was lost has reached a client that never acknowledges.
+    // What was written so long before its connection was lost, or before it was heard again, has reached a
+    // client that never acknowledges.
     static constexpr Nanos kTransferTime = kSecond;
     // After an acknowledgement by another connection, which may be another client's.
     static constexpr Nanos kKeptAfterAcknowledgement = 8 * kSecond;
@@ -69,14 +70,16 @@
         Step step;
         DeliveryOutcome outcome;  // where settled
     };
-    // To be asked from time to time. `own_acknowledges`: its own connection has acknowledged others before.
-    [[nodiscard]] Verdict check(Nanos now, bool own_acknowledges);
-    // The same for a migration, which clients do not acknowledge. `own_heard_at`: when its own connection was
-    // last heard.
-    [[nodiscard]] Verdict check_migration(Nanos now, Nanos own_heard_at);
+    // What is known of the own connection.
+    struct OwnConnection {
+        bool acknowledges = false;  // its client, or one at its address, has acknowledged others before
+        Nanos heard_at = 0;         // when anything last came on it
+    };
+    // To be asked from time to time. A migration is acknowledged by nobody.
+    [[nodiscard]] Verdict check(Nanos now, const OwnConnection&);
 
 private:
-    // What is the same for both, where it decides; Step::wait where it does not.
+    // Where its age or its connection's end decides; else Step::wait.
     Verdict check_age(Nanos now) const;
 
     const Nanos owed_at_;
--- a/src/platform/client_connection.cpp
+++ b/src/platform/client_connection.cpp
@@ -172,7 +172,7 @@
             return reply_to_health_check(message);
         case MessageType::release_ack:
             identify_as_client();
-            acknowledges_ = true;
+            if (!std::exchange(acknowledges_, true)) server_.remember_acknowledging(client_address_);
             return server_.handler_.on_release_ack(*this, message.task);
         case MessageType::progress:
             return;
--- a/src/platform/client_server.cpp
+++ b/src/platform/client_server.cpp
@@ -14,6 +14,7 @@
 // What is unread puts off a close so long at most: one that never stops sending is closed all the same.
 constexpr Nanos kMaxUnreadDelay = 500 * kMillisecond;
 constexpr int kEvictionTries = 8;
+constexpr std::size_t kMaxAcknowledgingAddresses = 4096;
 // Connections that are accepted only to be rejected; out of what the budget keeps back.
 constexpr std::size_t kMaxRejected = 8;
 
@@ -125,6 +126,15 @@
     handler_.on_client_left(ended);
 }
 
+bool ClientServer::acknowledges(const ClientConnection& client) const {
+    return client.acknowledges_ || acknowledging_addresses_.contains(client.client_address_);
+}
+
+void ClientServer::remember_acknowledging(const std::string& client_address) {
+    if (acknowledging_addresses_.size() < kMaxAcknowledgingAddresses)
+        acknowledging_addresses_.insert(client_address);
+}
+
 ClientConnection* ClientServer::find(ledger::ConnectionNumber number) const {
     if (number == ledger::kNoConnection) return nullptr;
     const auto it = std::find_if(clients_.begin(), clients_.end(),
--- a/src/platform/client_server.h
+++ b/src/platform/client_server.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 #include <tl/expected.hpp>
+#include <unordered_set>
 #include <vector>
 
 #include "log/logger.h"
@@ -32,6 +33,8 @@
     // Takes no new connection and half-closes those on which nothing is open or unread. True once all are
     // closed on both sides, or `deadline` has come.
     bool drain(Nanos now, Nanos deadline);
+    // Its client, or another one at its address, has acknowledged a release.
+    bool acknowledges(const ClientConnection&) const;
     // The open connection of that number; null if there is none.
     ClientConnection* find(ledger::ConnectionNumber) const;
     // The open connections of clients at that address, those used last first and no more than kMaxAtAddress.
@@ -49,6 +52,7 @@
     bool drop_ended(ClientConnection::Admission);
     bool make_room_to_reject(Nanos now);
     void move_to_ended(ClientConnection&);
+    void remember_acknowledging(const std::string& client_address);
 
     net::EventLoop& loop_;
     const log::Logger& log_;
@@ -57,6 +61,8 @@
     ClientStatistics statistics_;
     std::size_t rejected_count_ = 0;
     ledger::ConnectionNumber last_number_ = ledger::kNoConnection;
+    // Bounded; an address that finds no place counts by each connection alone.
+    std::unordered_set<std::string> acknowledging_addresses_;
     Connections clients_, ended_;
 };
 
--- a/src/platform/release_controller.cpp
+++ b/src/platform/release_controller.cpp
@@ -148,7 +148,7 @@
                       {"client", client.peer()},
                       {"reason", "connection_lost"},
                       {"age_ms", (now - release.delivery.owed_at()) / kMillisecond}});
-        release.delivery.on_connection_lost(client.number(), now, client.acknowledges());
+        release.delivery.on_connection_lost(client.number(), now, clients_.acknowledges(client));
         write_where_allowed(release);
     });
 }
@@ -160,9 +160,10 @@
 bool ReleaseController::sweep_one(OwedRelease& release, Nanos now) {
     ReleaseDelivery& delivery = release.delivery;
     const ClientConnection* own = clients_.find(delivery.own_connection());
-    const auto verdict = release.is_migration
-                             ? delivery.check_migration(now, own ? own->last_received_at() : 0)
-                             : delivery.check(now, own && own->acknowledges());
+    ReleaseDelivery::OwnConnection known;
+    known.acknowledges = own && !release.is_migration && clients_.acknowledges(*own);
+    if (own) known.heard_at = own->last_received_at();
+    const ReleaseDelivery::Verdict verdict = delivery.check(now, known);
     if (verdict.step == Step::settle) log_settled(release, verdict.outcome);
     if (verdict.step == Step::write_to_others) {
         context_.log(log::Level::info, "release_unacknowledged",
--- a/tests/platform_recovery_test.cpp
+++ b/tests/platform_recovery_test.cpp
@@ -129,3 +129,25 @@
     rig.run(20 * kMillisecond);
     CHECK(owner.count(MessageType::release, 1) == 1);
 }
+
+TEST_CASE(
+    "a migration that its client may not have received is followed by a release on its other connection") {
+    SingleWorkerRig rig;
+    QuietPlanner quiet;
+    rig.server.set_planner(quiet);
+    rig.request_placement(rig.client, 1);
+    REQUIRE(quiet.submitted.size() == 1);
+    rig.server.place(quiet.submitted[0], 0, kSecond);
+    rig.run(20 * kMillisecond);
+    rig.worker.last_connection().answer(1);
+    TestClient& other = rig.connect_client(1);
+    rig.request_placement(other, 51, "nothing known");
+    rig.server.migrate(quiet.submitted[0]);
+    rig.run(100 * kMillisecond);
+    CHECK(rig.client.count(MessageType::migrate, 1) == 1);
+    const bool is_placed_anew = GENERATE(true, false);
+    if (is_placed_anew) rig.client.send_bytes(place_task_bytes(2, "free", 5000, "", 1));
+    rig.run(1500 * kMillisecond);
+    CHECK(other.count(MessageType::release, 1) == (is_placed_anew ? 0u : 1u));
+    CHECK(rig.client.count(MessageType::release, 1) == 0);
+}
--- a/tests/support/tcp_proxy.h
+++ b/tests/support/tcp_proxy.h
@@ -67,6 +67,12 @@
         connection.to_server.half_closed_ = true;
         if (connection.dialed >= 0) ::shutdown(connection.dialed, SHUT_WR);
     }
+    // Accepts what has connected; the last of it, or null where the server took none.
+    Connection* accept_last() {
+        const std::size_t before = connections.size();
+        accept_new();
+        return connections.size() > before ? connections.back().get() : nullptr;
+    }
     void step() {
         accept_new();
         for (const auto& connection : connections) {
