--- a/src/platform/adoption_controller.cpp
+++ b/src/platform/adoption_controller.cpp
@@ -14,6 +14,8 @@
 
 // Of one task: a start has few moments in which they can cross, and misbehaving clients may send many.
 constexpr std::size_t kMaxOtherReporters = 4;
+// Of all clients; each is looked at in every sweep for which its connection has nothing else to wait for.
+constexpr std::size_t kMaxRepeatedReports = 256;
 
 }  // namespace
 
@@ -79,7 +81,16 @@
     if (is_first || (!is_same && !is_adopted)) return;
     add_reporter(task, report, client);
     if (is_adopted && client && is_likelier_owner(*client, task)) swap_owner(task, *client);
-    else if (is_same && client) repeated_reports_.push_back({task.id, client->number(), context_.now()});
+    else if (is_same && client) remember_repeated(task, *client);
+}
+
+void AdoptionController::remember_repeated(const InFlightTask& task, const ClientConnection& client) {
+    const bool is_known =
+        std::any_of(repeated_reports_.begin(), repeated_reports_.end(), [&](const RepeatedReport& report) {
+            return report.connection == client.number() && report.task == task.id;
+        });
+    if (!is_known && repeated_reports_.size() < kMaxRepeatedReports)
+        repeated_reports_.push_back({task.id, client.number(), context_.now()});
 }
 
 // Of two clients that report one task, the one that is known to report what is true.
@@ -93,7 +104,7 @@
 void AdoptionController::swap_owner(InFlightTask& task, ClientConnection& client) {
     std::erase_if(task.other_reporters,
                   [&client](const auto& other) { return other.connection == client.number(); });
-    if (task.client)
+    if (task.client && task.other_reporters.size() < kMaxOtherReporters)
         task.other_reporters.push_back({task.client_address, task.client->number(), context_.now()});
     task.client_address = client.client_address();
     lifecycle_.move_to_connection(task, client);
--- a/src/platform/release_controller.cpp
+++ b/src/platform/release_controller.cpp
@@ -159,7 +159,8 @@
 
 bool ReleaseController::sweep_one(OwedRelease& release, Nanos now) {
     ReleaseDelivery& delivery = release.delivery;
-    const ClientConnection* own = clients_.find(delivery.own_connection());
+    const ClientConnection* own =
+        delivery.is_open_to_others() ? nullptr : clients_.find(delivery.own_connection());
     ReleaseDelivery::OwnConnection known;
     known.acknowledges = own && !release.is_migration && clients_.acknowledges(*own);
     if (own) known.heard_at = own->last_received_at();
--- a/src/server/drain_controller.cpp
+++ b/src/server/drain_controller.cpp
@@ -10,6 +10,9 @@
 using log::Level;
 // Streams do not tell when they are written out, so they are looked at this often.
 constexpr Nanos kPollInterval = 5 * kMillisecond;
+// For what is written to reach clients, once nobody waits for an answer. A client that reads nothing, or whose
+// connection is dead without a reset, would hold up the shutdown for good.
+constexpr Nanos kFlushTimeout = 2 * kSecond;
 }  // namespace
 
 void DrainController::start(ClientEndpoint* clients, std::function<void()> done) {
@@ -17,6 +20,7 @@
     done_ = std::move(done);
     state_ = State::draining;
     context_.admission.start_drain();
+    flush_deadline_ = context_.now() + kFlushTimeout;
     if (clients_) clients_->stop_listening();
     context_.log(Level::info, "drain_started", {{"waiting", context_.admission.waiting()}});
     poll_timer_ = context_.loop.make_timer([this] { check(); });
@@ -31,11 +35,14 @@
         case State::draining:
             break;
     }
+    const Nanos now = context_.now();
+    if (context_.admission.waiting() != 0) flush_deadline_ = now + kFlushTimeout;
     const bool is_flushed = !clients_ || clients_->is_flushed();
-    if (context_.admission.waiting() != 0 || !is_flushed) {
-        poll_timer_->arm(context_.now() + kPollInterval);
+    if (context_.admission.waiting() != 0 || (!is_flushed && now < flush_deadline_)) {
+        poll_timer_->arm(now + kPollInterval);
         return;
     }
+    if (!is_flushed) context_.log(Level::warning, "drain_flush_timeout", {});
     state_ = State::drained;
     const ledger::LedgerStatistics& statistics = context_.ledger.statistics();
     context_.log(Level::info, "drain_finished",
--- a/src/server/drain_controller.h
+++ b/src/server/drain_controller.h
@@ -27,6 +27,7 @@
     ClientEndpoint* clients_ = nullptr;
     std::function<void()> done_;
     std::unique_ptr<net::Timer> poll_timer_;
+    Nanos flush_deadline_ = 0;
 };
 
 }  // namespace whinpost::server
--- a/tests/server_drain_test.cpp
+++ b/tests/server_drain_test.cpp
@@ -22,3 +22,21 @@
     CHECK(done);
     CHECK(final_answers(client) == 2);
 }
+
+TEST_CASE("a client that reads nothing does not hold up the shutdown of the placer for good") {
+    ServerRig rig;
+    TestClient& deaf = rig.connect_client("deaf");
+    deaf.stream->set_reading(false);
+    for (std::uint64_t id = 1; id <= 20'000; ++id) {
+        v1::FromClient message;
+        *message.mutable_submit() = rig.request(id, "free", kSecond);
+        deaf.send(message);
+    }
+    rig.run(2 * kSecond);  // each has its answer, and most of these wait to be sent
+    bool done = false;
+    rig.placer->server.drain([&done] { done = true; });
+    rig.run(kSecond);
+    CHECK_FALSE(done);
+    rig.run(2 * kSecond);
+    CHECK(done);
+}
