--- a/tests/release_delivery_faults_test.cpp
+++ b/tests/release_delivery_faults_test.cpp
@@ -245,3 +245,50 @@
     CHECK(rig.time_until([&] { return is_released(client, 2); }, kReleaseLimit) < kReleaseLimit);
     CHECK(client.messages(MessageType::release)[0].cause == Cause::ok);
 }
+
+TEST_CASE("a task whose machine is back with a new process and silent old connections is ended in 8 s",
+          "[silence]") {
+    ProcessRig rig;
+    ModelWorker& worker = rig.add_worker("w1");
+    rig.wait_until_ready();
+    SocketPeer client = rig.connect_client();
+    const bool was_reported = GENERATE(true, false);
+    if (was_reported) {
+        worker.run(1);
+        rig.report_running(client, worker, 1);
+        rig.run_for(kBriefly);
+    } else {
+        rig.place(client, 1);
+    }
+    worker.replace_silently();  // and the list says nothing of it
+    CHECK(rig.time_until([&] { return is_released(client, 1); }, kEndLimit) < kEndLimit);
+}
+
+TEST_CASE("a task whose worker hangs, or one connection of which stalls, is kept for as long", "[silence]") {
+    ProcessRig rig;
+    ModelWorker& worker = rig.add_worker("w1", false);
+    TcpProxy& proxy = rig.add_worker_proxy(worker);
+    rig.wait_until_ready();
+    SocketPeer client = rig.connect_client();
+    client.send_bytes(place_task_bytes(1, "free", 5000, "") + place_task_bytes(2, "free", 5000, ""));
+    rig.run_until("two tasks run", [&] {
+        client.read_available();
+        return client.count(MessageType::answer, 1) + client.count(MessageType::answer, 2) == 2;
+    });
+    rig.run_for(kBriefly);
+    const bool hangs = GENERATE(true, false);
+    if (hangs) worker.is_silent = true;
+    else proxy.connections[0]->to_client.stall();
+    rig.run_for(10 * kSecond);
+    CHECK_FALSE(is_released(client, 1));
+    CHECK_FALSE(is_released(client, 2));
+    worker.is_silent = false;
+    rig.run_for(kSecond);
+    worker.end_task(1, Cause::ok);
+    worker.end_task(2, Cause::ok);
+    const auto both_told = [&] {
+        const bool first = is_released(client, 1);
+        return is_released(client, 2) && first;
+    };
+    CHECK(rig.time_until(both_told, kEndLimit) < kEndLimit);
+}
--- a/tests/support/process_rig.h
+++ b/tests/support/process_rig.h
@@ -56,6 +56,17 @@
         sent_ends_.clear();
         unreported_.clear();
     }
+    // Its machine vanished and is back with a new process: what ran is gone, and the old connections stay
+    // open and silent.
+    void replace_silently() {
+        for (auto& connection : connections_) silent_connections_.push_back(std::move(connection));
+        connections_.clear();
+        running.clear();
+        unsent_ends_.clear();
+        sent_ends_.clear();
+        unreported_.clear();
+        started_at_ms = read_clock(CLOCK_REALTIME) / kMillisecond;
+    }
     void start_again() {
         listener_ = std::make_unique<ListeningSocket>(kBacklog, port_, ip_);
         started_at_ms = read_clock(CLOCK_REALTIME) / kMillisecond;
@@ -182,7 +193,7 @@
     std::unique_ptr<ListeningSocket> listener_;
     int port_;
     std::string address_;
-    std::vector<std::unique_ptr<Connection>> connections_;
+    std::vector<std::unique_ptr<Connection>> connections_, silent_connections_;
     std::set<std::uint64_t> unreported_;
     std::map<std::uint64_t, const SocketPeer*> set_up_on_;
     using Ends = std::map<std::uint64_t, platform_codec::Cause>;
