--- a/apps/platform.cpp
+++ b/apps/platform.cpp
@@ -60,6 +60,7 @@
         options.idle_timeout = settings.duration("limits.conn_idle_us");
         options.descriptors = config.descriptors();
         options.seed = config.seed();
+        options.health_checks = settings::worker_acceptance(settings).health_checks;
         return options;
     }
 
--- a/src/ledger/task_liveness.cpp
+++ b/src/ledger/task_liveness.cpp
@@ -29,7 +29,7 @@
 
 void TaskLiveness::on_worker_message() {
     doubt_ = Doubt::none;
-    refused_ = false;
+    may_be_replaced_ = false;
 }
 
 // The first interruption counts: the task may be over since then.
@@ -39,7 +39,15 @@
     since_ = now;
 }
 
-void TaskLiveness::on_dial_refused() { refused_ = doubt_ == Doubt::interrupted; }
+void TaskLiveness::on_silenced(Nanos since) {
+    if (doubt_ == Doubt::unconfirmed) return;
+    on_interrupted(since);
+    may_be_replaced_ = true;
+}
+
+void TaskLiveness::on_dial_refused() {
+    if (doubt_ == Doubt::interrupted) may_be_replaced_ = true;
+}
 
 void TaskLiveness::on_process_confirmed(Nanos since) {
     if (doubt_ == Doubt::interrupted && since_ >= since) on_worker_message();
@@ -53,7 +61,7 @@
     const Nanos confirmation_timeout = is_believed ? kInterruptionTimeout : kConfirmationTimeout;
     if (doubt_ == Doubt::unconfirmed && doubted_for >= confirmation_timeout) return Verdict::unconfirmed;
     if (doubt_ != Doubt::interrupted) return Verdict::keep;
-    if (evidence.list_is_current && !refused_ && doubted_for >= kListDelay) on_worker_message();
+    if (evidence.list_is_current && !may_be_replaced_ && doubted_for >= kListDelay) on_worker_message();
     else if (doubted_for >= kInterruptionTimeout) return Verdict::interrupted;
     return Verdict::keep;
 }
--- a/src/ledger/task_liveness.h
+++ b/src/ledger/task_liveness.h
@@ -39,6 +39,9 @@
     void on_worker_message();
     // The last connection to the worker broke: its process may have died, and the task with it.
     void on_interrupted(Nanos now);
+    // The connection on which the worker spoke of it is silent since then, and the worker answers on a newer
+    // one: another process may have taken the place of the one that ran it. The list may tell that too late.
+    void on_silenced(Nanos since);
     // No process listened at the worker's address since. So the process that ran the task is gone, unless the
     // refusal was not the worker's own.
     void on_dial_refused();
@@ -67,7 +70,7 @@
 private:
     enum class Doubt { none, unconfirmed, interrupted };
     Doubt doubt_ = Doubt::none;
-    bool refused_ = false;
+    bool may_be_replaced_ = false;  // the process; that the list tells no restart is no proof then
     Nanos since_ = 0;
 };
 
--- a/src/ledger/worker_reachability.h
+++ b/src/ledger/worker_reachability.h
@@ -5,6 +5,9 @@
 // again on the next connection that is opened. So where a word may be lost, a new connection brings it. Each
 // connection's silence is its own: what is heard on another one says nothing of it.
 #pragma once
+#include <optional>
+#include <vector>
+
 #include "whinpost/nanos.h"
 
 namespace whinpost::ledger {
@@ -15,7 +18,8 @@
     // connection, which comes up if the worker is there. What is over is to be released within 8 s of its
     // end; that leaves time for two of them.
     static constexpr Nanos kSilent = 3500 * kMillisecond;
-    // An attempt that was written so long ago, with not a byte since: nothing new goes out on its connection.
+    // Something that wants an answer was written so long ago, with not a byte since: the connection is mute.
+    // It carries nothing new, and another one is to bring what it may hold.
     static constexpr Nanos kMute = kSecond;
 
     void on_connected(Nanos now) {
@@ -33,6 +37,16 @@
         return last_received_at < written_at && now - written_at >= kMute;
     }
 
+    // What is known of one of a worker's connections.
+    struct ConnectionState {
+        Nanos up_since = 0, heard_at = 0;  // heard_at: when the last byte came; up_since if none did
+        bool is_mute = false;
+    };
+    // Since when the process that spoke on a mute connection may be gone, though the machine answers: it is
+    // heard on a connection that was opened since, and on none that was open while the mute one spoke.
+    static std::optional<Nanos> may_be_replaced_since(const ConnectionState& mute,
+                                                      const std::vector<ConnectionState>& connections);
+
 private:
     Nanos connected_at_ = 0;
     bool word_may_be_lost_ = false;
--- a/src/platform/platform_server.h
+++ b/src/platform/platform_server.h
@@ -34,6 +34,7 @@
     Nanos idle_timeout = 0;       // after which workers close an idle connection
     std::size_t descriptors = 0;  // that this process may hold
     std::uint64_t seed = 0;
+    bool health_checks = false;  // workers may be sent them
 };
 
 // Composes the parts, which share a ServerContext and call each other; it holds no state of its own but the
--- a/src/platform/pooled_worker.cpp
+++ b/src/platform/pooled_worker.cpp
@@ -32,7 +32,7 @@
                            WorkerHandler& handler, ConnectionReserver& reserver)
     : name_(std::move(options.name)), number_(options.number), loop_(loop), log_(log), handler_(handler),
       reserver_(reserver), dial_timeout_(options.dial_timeout), idle_timeout_(options.idle_timeout),
-      last_received_(loop.now()),
+      health_checks_(options.health_checks), last_received_(loop.now()),
       next_health_check_(options.seed ^ (static_cast<std::uint64_t>(options.number) << 40)) {}
 PooledWorker::~PooledWorker() = default;
 
@@ -313,12 +313,14 @@
 PooledWorker::ConnectionSummary PooledWorker::sweep_connections(Nanos now) {
     ConnectionSummary summary;
     std::size_t accepted = 0;
-    bool any_silent = false;
+    bool any_silent = false, any_silent_accepted = false;
     for (std::size_t i = 0; i < connections_.size();) {
         WorkerConnection& connection = *connections_[i];
         const Nanos last = std::max(connection.last_used_, connection.last_received_);
         const bool forgotten = !connection.has_work() && now - last > 2 * idle_timeout_;
-        const bool useless = is_gone() && running_.empty() && !connection.has_work();
+        const bool unused =
+            connection.is_mute_ && !connection.has_work() && tasks_spoken_of_on(connection).empty();
+        const bool useless = unused || (is_gone() && running_.empty() && !connection.has_work());
         if (connection.is_up() && (forgotten || useless)) {
             connection.abort();
             continue;
@@ -327,13 +329,17 @@
             connection.is_up() && ledger::WorkerReachability::is_silent(now, connection.last_received_);
         any_silent = any_silent || silent;
         accepted += connection.accepted_.size();
-        summary.alive = summary.alive || (connection.is_up() && !silent);
+        // One that was asked has its time to answer.
+        const bool is_asked = connection.asked_at_ != 0 && !connection.is_mute_;
+        summary.alive = summary.alive || (connection.is_up() && (!silent || is_asked));
         summary.dialing = summary.dialing || !connection.is_up();
-        summary.waits_on_silent = summary.waits_on_silent || (silent && !connection.accepted_.empty());
+        any_silent_accepted = any_silent_accepted || (silent && !connection.accepted_.empty());
         ++i;
     }
-    // Tasks whose attempt's connection is gone: their end may be said on any.
-    if (accepted < running_.size()) summary.waits_on_silent = summary.waits_on_silent || any_silent;
+    // Tasks whose attempt's connection is gone: their end may be said on any. Where connections can be asked,
+    // a mute one calls for a new one by itself.
+    const bool any_unattached = accepted < running_.size();
+    summary.waits_on_silent = !health_checks_ && (any_silent_accepted || (any_unattached && any_silent));
     return summary;
 }
 
@@ -343,6 +349,69 @@
     pending_cancels_.clear();
 }
 
+std::size_t PooledWorker::accepted_count() const {
+    std::size_t count = 0;
+    for (const auto& connection : connections_) count += connection->accepted_.size();
+    return count;
+}
+
+std::vector<ledger::WorkerReachability::ConnectionState> PooledWorker::connection_states() const {
+    std::vector<ledger::WorkerReachability::ConnectionState> states;
+    for (const auto& connection : connections_)
+        if (connection->is_up()) states.push_back(connection->state());
+    return states;
+}
+
+// Guards against a worker that is taken for alive because one of its connections is: each is asked by itself,
+// and a newer one beside a mute one too, since only an answer there shows that the machine is back.
+void PooledWorker::check_connections(Nanos now) {
+    if (!health_checks_ || running_.empty()) return;
+    const bool any_unattached = accepted_count() < running_.size();
+    const bool any_mute = std::any_of(connections_.begin(), connections_.end(),
+                                      [](const auto& connection) { return connection->is_mute_; });
+    for (const auto& connection : connections_) {
+        if (!connection->is_up() || connection->is_mute_) continue;
+        const bool matters = any_unattached || !connection->accepted_.empty();
+        const bool is_silent = ledger::WorkerReachability::is_silent(now, connection->last_received_);
+        const bool is_unheard = connection->last_received_ <= connection->up_since_;
+        if ((matters && is_silent) || (any_mute && is_unheard)) connection->ask_for_life();
+        if (connection->asked_at_) connection->retire_if_mute(connection->asked_at_);
+    }
+    for (const auto& connection : connections_)
+        if (connection->is_mute_ && !connection->is_doubted_) doubt_tasks_on(*connection);
+}
+
+void PooledWorker::doubt_tasks_on(WorkerConnection& mute) {
+    const std::optional<Nanos> since =
+        ledger::WorkerReachability::may_be_replaced_since(mute.state(), connection_states());
+    if (!since) return;
+    mute.is_doubted_ = true;
+    const std::vector<InFlightTask*> tasks = tasks_spoken_of_on(mute);
+    log_(log::Level::info, "worker_may_be_replaced",
+         {{"worker", name_}, {"tasks", tasks.size()}, {"silent_ms", (loop_.now() - *since) / kMillisecond}});
+    for (InFlightTask* task : tasks)
+        if (task->record->in_flight && task->record->in_flight->sent_at <= *since)
+            task->liveness.on_silenced(*since);
+}
+
+void PooledWorker::on_connection_heard(WorkerConnection& heard) {
+    if (!std::exchange(heard.is_doubted_, false)) return;
+    for (InFlightTask* task : tasks_spoken_of_on(heard)) task->liveness.on_process_confirmed(0);
+}
+
+// Those that were accepted on it, and those that belong to no connection: the worker speaks of them on any.
+std::vector<InFlightTask*> PooledWorker::tasks_spoken_of_on(const WorkerConnection& connection) const {
+    std::vector<InFlightTask*> tasks;
+    for (const auto& [id, task] : running_) {
+        const bool is_elsewhere =
+            std::any_of(connections_.begin(), connections_.end(), [&, task_id = id](const auto& other) {
+                return other.get() != &connection && other->accepted_.contains(task_id);
+            });
+        if (!is_elsewhere) tasks.push_back(task);
+    }
+    return tasks;
+}
+
 bool PooledWorker::end_lost_tasks(Nanos now) {
     const bool refused = refused_dials_ >= kRefusedForGood;
     const bool left = is_gone() && now - gone_at_ > kLastReports;
@@ -362,6 +431,7 @@
 
 void PooledWorker::sweep(Nanos now) {
     closed_.clear();
+    check_connections(now);
     const ConnectionSummary summary = sweep_connections(now);
     forget_expired(now);
     end_doubted_tasks(now);
--- a/src/platform/pooled_worker.h
+++ b/src/platform/pooled_worker.h
@@ -20,8 +20,9 @@
     std::string name;
     std::uint32_t number = 0;  // the planner's
     Nanos dial_timeout = 0;
-    Nanos idle_timeout = 0;  // after which the worker closes an idle connection
-    std::uint64_t seed = 0;  // of the ids of health checks
+    Nanos idle_timeout = 0;      // after which the worker closes an idle connection
+    std::uint64_t seed = 0;      // of the ids of health checks
+    bool health_checks = false;  // may be sent
 };
 
 // A running task belongs to no connection: a message on it may come on any. Chooses no attempts.
@@ -107,6 +108,13 @@
     void end_if_doubt_is_over(InFlightTask&, Nanos now);
     // No connection is alive: true where that has ended the tasks.
     bool end_lost_tasks(Nanos now);
+    // Connections that should have spoken are asked; what a mute one leaves in doubt is marked.
+    void check_connections(Nanos now);
+    void doubt_tasks_on(WorkerConnection& mute);
+    void on_connection_heard(WorkerConnection&);
+    std::vector<InFlightTask*> tasks_spoken_of_on(const WorkerConnection&) const;
+    std::size_t accepted_count() const;
+    std::vector<ledger::WorkerReachability::ConnectionState> connection_states() const;
     void dial_for_word(Nanos now, bool alive);
 
     const std::string name_;
@@ -116,6 +124,7 @@
     WorkerHandler& handler_;
     ConnectionReserver& reserver_;
     const Nanos dial_timeout_, idle_timeout_;
+    const bool health_checks_;
     std::string address_;
     EndpointPhase phase_ = EndpointPhase::serving;
     Nanos gone_at_ = 0;
--- a/src/platform/worker_connection.cpp
+++ b/src/platform/worker_connection.cpp
@@ -151,18 +151,29 @@
     if (is_up()) write(message);
 }
 
-// Its neighbours to the same worker may be well.
 void WorkerConnection::retire_if_mute(Nanos written_at) {
-    const Nanos now = worker_.loop_.now();
-    if (state_ != State::up || !ledger::WorkerReachability::is_mute(now, last_received_, written_at)) return;
+    if (ledger::WorkerReachability::is_mute(worker_.loop_.now(), last_received_, written_at))
+        become_mute(written_at);
+}
+
+// Its neighbours to the same worker may be well.
+void WorkerConnection::become_mute(Nanos unanswered_since) {
+    if (!is_up() || std::exchange(is_mute_, true)) return;
     worker_.log_(log::Level::info, "worker_connection_mute",
                  {{"worker", worker_.name_},
-                  {"unanswered_ms", (now - written_at) / kMillisecond},
+                  {"unanswered_ms", (worker_.loop_.now() - unanswered_since) / kMillisecond},
                   {"running_tasks", accepted_.size()}});
+    pending_health_checks_.clear();
     retire();
     worker_.reachability_.on_word_may_be_lost();
 }
 
+void WorkerConnection::ask_for_life() {
+    if (asked_at_ || !is_up()) return;
+    asked_at_ = worker_.loop_.now();
+    check_health();
+}
+
 void WorkerConnection::check_health() {
     if (state_ == State::dialing) {
         health_check_due_ = true;
@@ -208,6 +219,8 @@
 
 std::size_t WorkerConnection::on_received(std::string_view in) {
     last_received_ = worker_.last_received_ = worker_.last_message_at_ = worker_.loop_.now();
+    if (std::exchange(is_mute_, false)) worker_.on_connection_heard(*this);
+    asked_at_ = 0;
     const auto decoded = platform_codec::decode_all(in, [this](const Message& message) {
         on_message(message);
         return state_ != State::broken;
--- a/src/platform/worker_connection.h
+++ b/src/platform/worker_connection.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "ledger/worker_reachability.h"
 #include "net/stream.h"
 #include "platform/worker_handler.h"
 #include "platform_codec/message.h"
@@ -35,6 +36,8 @@
     // The attempt ends here, whether it was written or not.
     void abandon_attempt(InFlightTask&);
     void check_health();
+    // A health check that only asks for a sign of life; once while it is silent.
+    void ask_for_life();
     void cancel_task(std::uint64_t id);
     // Nothing new is sent on it any more. Only for one that is up.
     void retire() { state_ = State::retired; }
@@ -70,7 +73,11 @@
     bool can_send() const;
     bool is_long_idle() const;
     void send_waiting();
+    ledger::WorkerReachability::ConnectionState state() const {
+        return {up_since_, last_received_, is_mute_};
+    }
     void retire_if_mute(Nanos written_at);
+    void become_mute(Nanos unanswered_since);
     void end_attempts(bool was_up);
     void write(const platform_codec::Message&);
     void log_message(const platform_codec::Message&) const;
@@ -81,6 +88,9 @@
     State state_ = State::dialing;
     bool health_check_due_ = false;  // to be sent once it is up
     Nanos last_received_ = 0, last_used_ = 0, up_since_ = 0;
+    Nanos asked_at_ = 0;                 // for a sign of life that has not come; 0: it was not
+    bool is_mute_ = false;               // and none has come in time
+    bool is_doubted_ = false;            // mute, and the tasks that were spoken of on it are in doubt
     std::deque<InFlightTask*> waiting_;  // not written yet
     // Written, and not ended; looked up, and walked in order of id only.
     std::unordered_map<std::uint64_t, InFlightTask*> in_flight_;
--- a/src/platform/worker_pool.cpp
+++ b/src/platform/worker_pool.cpp
@@ -18,8 +18,9 @@
 PooledWorker& WorkerPool::add(const std::string& name) {
     const auto number = static_cast<std::uint32_t>(workers_.size());
     workers_.push_back(std::make_unique<PooledWorker>(
-        PooledWorkerOptions{name, number, options_.dial_timeout, options_.idle_timeout, options_.seed}, loop_,
-        log_, handler_, reserver_));
+        PooledWorkerOptions{name, number, options_.dial_timeout, options_.idle_timeout, options_.seed,
+                            options_.health_checks},
+        loop_, log_, handler_, reserver_));
     workers_.back()->set_max_connections(connections_each_);
     return *workers_.back();
 }
--- a/src/platform/worker_pool.h
+++ b/src/platform/worker_pool.h
@@ -14,6 +14,7 @@
     Nanos idle_timeout = 0;                // after which workers close an idle connection
     std::size_t reserved_connections = 0;  // that are divided among the listed workers
     std::uint64_t seed = 0;                // of the ids of health checks
+    bool health_checks = false;            // may be sent
 };
 
 // Workers are never removed, so pointers to them hold as long as the pool.
--- a/tests/task_liveness_test.cpp
+++ b/tests/task_liveness_test.cpp
@@ -95,3 +95,21 @@
           (is_kept ? Verdict::keep : Verdict::unconfirmed));
     CHECK(liveness.check(kEnd, evidence) == Verdict::unconfirmed);
 }
+
+TEST_CASE("a list that tells no restart does not keep a task whose worker speaks on newer connections only") {
+    TaskLiveness liveness;
+    liveness.on_silenced(kStart);
+    CHECK(liveness.check(kEnd - 1, {.list_is_current = true}) == Verdict::keep);
+    SECTION("the silent connection is heard again, or the worker speaks of the task") {
+        if (GENERATE(true, false)) liveness.on_process_confirmed(0);
+        else liveness.on_worker_message();
+        CHECK(liveness.check(kEnd, {.list_is_current = false}) == Verdict::keep);
+    }
+    SECTION("it is not") { CHECK(liveness.check(kEnd, {.list_is_current = true}) == Verdict::interrupted); }
+    SECTION("it was only reported: the report's time goes on") {
+        TaskLiveness reported;
+        reported.on_reported(kStart);
+        reported.on_silenced(kStart);
+        CHECK_FALSE(reported.is_confirmed());
+    }
+}
