--- a/src/ledger/worker_reachability.h
+++ b/src/ledger/worker_reachability.h
@@ -21,6 +21,10 @@
     // Something that wants an answer was written so long ago, with not a byte since: the connection is mute.
     // It carries nothing new, and another one is to bring what it may hold.
     static constexpr Nanos kMute = kSecond;
+    // So long without a word on connections as old as the tasks, and they are asked. A health check has its
+    // price, and workers say something of most tasks more often; an answer comes in time for kMute and the
+    // verdict.
+    static constexpr Nanos kAskAfter = 6 * kSecond;
 
     void on_connected(Nanos now) {
         connected_at_ = now;
@@ -42,6 +46,19 @@
         Nanos up_since = 0, heard_at = 0;  // heard_at: when the last byte came; up_since if none did
         bool is_mute = false;
     };
+    static bool is_old(Nanos now, const ConnectionState& connection) {
+        return !connection.is_mute && now - connection.up_since >= kAskAfter;
+    }
+    // There are old connections, and none of them was heard for long.
+    static bool is_process_in_question(Nanos now, const std::vector<ConnectionState>& connections) {
+        bool any_old = false;
+        for (const ConnectionState& connection : connections) {
+            if (!is_old(now, connection)) continue;
+            if (now - connection.heard_at < kAskAfter) return false;
+            any_old = true;
+        }
+        return any_old;
+    }
     // Since when the process that spoke on a mute connection may be gone, though the machine answers: it is
     // heard on a connection that was opened since, and on none that was open while the mute one spoke.
     static std::optional<Nanos> may_be_replaced_since(const ConnectionState& mute,
--- a/src/platform/pooled_worker.cpp
+++ b/src/platform/pooled_worker.cpp
@@ -318,8 +318,8 @@
         WorkerConnection& connection = *connections_[i];
         const Nanos last = std::max(connection.last_used_, connection.last_received_);
         const bool forgotten = !connection.has_work() && now - last > 2 * idle_timeout_;
-        const bool unused =
-            connection.is_mute_ && !connection.has_work() && tasks_spoken_of_on(connection).empty();
+        const bool unused = connection.is_mute_ && !connection.has_work() &&
+                            tasks_spoken_of_before(connection.last_received_).empty();
         const bool useless = unused || (is_gone() && running_.empty() && !connection.has_work());
         if (connection.is_up() && (forgotten || useless)) {
             connection.abort();
@@ -329,17 +329,14 @@
             connection.is_up() && ledger::WorkerReachability::is_silent(now, connection.last_received_);
         any_silent = any_silent || silent;
         accepted += connection.accepted_.size();
-        // One that was asked has its time to answer.
-        const bool is_asked = connection.asked_at_ != 0 && !connection.is_mute_;
-        summary.alive = summary.alive || (connection.is_up() && (!silent || is_asked));
+        summary.alive = summary.alive || (connection.is_up() && !silent);
         summary.dialing = summary.dialing || !connection.is_up();
         any_silent_accepted = any_silent_accepted || (silent && !connection.accepted_.empty());
         ++i;
     }
-    // Tasks whose attempt's connection is gone: their end may be said on any. Where connections can be asked,
-    // a mute one calls for a new one by itself.
+    // Tasks whose attempt's connection is gone: their end may be said on any.
     const bool any_unattached = accepted < running_.size();
-    summary.waits_on_silent = !health_checks_ && (any_silent_accepted || (any_unattached && any_silent));
+    summary.waits_on_silent = any_silent_accepted || (any_unattached && any_silent);
     return summary;
 }
 
@@ -349,12 +346,6 @@
     pending_cancels_.clear();
 }
 
-std::size_t PooledWorker::accepted_count() const {
-    std::size_t count = 0;
-    for (const auto& connection : connections_) count += connection->accepted_.size();
-    return count;
-}
-
 std::vector<ledger::WorkerReachability::ConnectionState> PooledWorker::connection_states() const {
     std::vector<ledger::WorkerReachability::ConnectionState> states;
     for (const auto& connection : connections_)
@@ -362,23 +353,40 @@
     return states;
 }
 
-// Guards against a worker that is taken for alive because one of its connections is: each is asked by itself,
-// and a newer one beside a mute one too, since only an answer there shows that the machine is back.
+// Guards against a worker that is taken for alive because a new connection came up: that it answers there is
+// no sign of the process that ran its tasks. So where nothing was heard for long on the connections that are
+// as old as the tasks, these are asked; and a newer one beside a mute one, since only an answer there shows
+// that the machine is back.
 void PooledWorker::check_connections(Nanos now) {
     if (!health_checks_ || running_.empty()) return;
-    const bool any_unattached = accepted_count() < running_.size();
-    const bool any_mute = std::any_of(connections_.begin(), connections_.end(),
-                                      [](const auto& connection) { return connection->is_mute_; });
+    if (ledger::WorkerReachability::is_process_in_question(now, connection_states()))
+        ask_old_connections(now);
+    bool any_mute = false;
     for (const auto& connection : connections_) {
-        if (!connection->is_up() || connection->is_mute_) continue;
-        const bool matters = any_unattached || !connection->accepted_.empty();
-        const bool is_silent = ledger::WorkerReachability::is_silent(now, connection->last_received_);
-        const bool is_unheard = connection->last_received_ <= connection->up_since_;
-        if ((matters && is_silent) || (any_mute && is_unheard)) connection->ask_for_life();
         if (connection->asked_at_) connection->retire_if_mute(connection->asked_at_);
+        any_mute = any_mute || connection->is_mute_;
     }
-    for (const auto& connection : connections_)
+    if (!any_mute) return;
+    for (const auto& connection : connections_) {
         if (connection->is_mute_ && !connection->is_doubted_) doubt_tasks_on(*connection);
+        const bool is_unheard = connection->last_received_ <= connection->up_since_;
+        if (connection->is_up() && !connection->is_mute_ && is_unheard) connection->ask_for_life();
+    }
+}
+
+// Those on which a task was accepted; where there is none, the one that was heard last.
+void PooledWorker::ask_old_connections(Nanos now) {
+    WorkerConnection* heard_last = nullptr;
+    bool any_asked = false;
+    for (const auto& connection : connections_) {
+        if (!ledger::WorkerReachability::is_old(now, connection->state())) continue;
+        if (!heard_last || connection->last_received_ > heard_last->last_received_)
+            heard_last = connection.get();
+        if (connection->accepted_.empty()) continue;
+        connection->ask_for_life();
+        any_asked = true;
+    }
+    if (!any_asked && heard_last) heard_last->ask_for_life();
 }
 
 void PooledWorker::doubt_tasks_on(WorkerConnection& mute) {
@@ -386,28 +394,29 @@
         ledger::WorkerReachability::may_be_replaced_since(mute.state(), connection_states());
     if (!since) return;
     mute.is_doubted_ = true;
-    const std::vector<InFlightTask*> tasks = tasks_spoken_of_on(mute);
+    const std::vector<InFlightTask*> tasks = tasks_spoken_of_before(*since);
     log_(log::Level::info, "worker_may_be_replaced",
          {{"worker", name_}, {"tasks", tasks.size()}, {"silent_ms", (loop_.now() - *since) / kMillisecond}});
-    for (InFlightTask* task : tasks)
-        if (task->record->in_flight && task->record->in_flight->sent_at <= *since)
-            task->liveness.on_silenced(*since);
+    for (InFlightTask* task : tasks) task->liveness.on_silenced(*since);
 }
 
+// The process that spoke there before is there still.
 void PooledWorker::on_connection_heard(WorkerConnection& heard) {
     if (!std::exchange(heard.is_doubted_, false)) return;
-    for (InFlightTask* task : tasks_spoken_of_on(heard)) task->liveness.on_process_confirmed(0);
+    for (InFlightTask* task : tasks_spoken_of_before(loop_.now()))
+        task->liveness.on_process_confirmed(heard.up_since_);
 }
 
-// Those that were accepted on it, and those that belong to no connection: the worker speaks of them on any.
-std::vector<InFlightTask*> PooledWorker::tasks_spoken_of_on(const WorkerConnection& connection) const {
+// But for those that were accepted on a connection which was opened later.
+std::vector<InFlightTask*> PooledWorker::tasks_spoken_of_before(Nanos moment) const {
     std::vector<InFlightTask*> tasks;
     for (const auto& [id, task] : running_) {
-        const bool is_elsewhere =
-            std::any_of(connections_.begin(), connections_.end(), [&, task_id = id](const auto& other) {
-                return other.get() != &connection && other->accepted_.contains(task_id);
+        if (!task->record->in_flight || task->record->in_flight->sent_at > moment) continue;
+        const bool is_newer =
+            std::any_of(connections_.begin(), connections_.end(), [&, task_id = id](const auto& connection) {
+                return connection->up_since_ > moment && connection->accepted_.contains(task_id);
             });
-        if (!is_elsewhere) tasks.push_back(task);
+        if (!is_newer) tasks.push_back(task);
     }
     return tasks;
 }
--- a/src/platform/pooled_worker.h
+++ b/src/platform/pooled_worker.h
@@ -112,8 +112,8 @@
     void check_connections(Nanos now);
     void doubt_tasks_on(WorkerConnection& mute);
     void on_connection_heard(WorkerConnection&);
-    std::vector<InFlightTask*> tasks_spoken_of_on(const WorkerConnection&) const;
-    std::size_t accepted_count() const;
+    std::vector<InFlightTask*> tasks_spoken_of_before(Nanos moment) const;
+    void ask_old_connections(Nanos now);
     std::vector<ledger::WorkerReachability::ConnectionState> connection_states() const;
     void dial_for_word(Nanos now, bool alive);
 
--- a/tests/worker_reachability_test.cpp
+++ b/tests/worker_reachability_test.cpp
@@ -53,3 +53,13 @@
     CHECK_FALSE(since({mute, newer, as_old}));  // the same process spoke on both
     CHECK(since({mute, newer, mute_later}) == heard + 3);
 }
+
+TEST_CASE("old connections are asked where none of them was heard for 6 s, whatever newer ones say") {
+    const Nanos now = kStart + 20 * kSecond;
+    const WorkerReachability::ConnectionState silent{kStart, now - WorkerReachability::kAskAfter, false};
+    const WorkerReachability::ConnectionState heard{kStart, now - WorkerReachability::kAskAfter + 1, false};
+    const WorkerReachability::ConnectionState newer{now - kSecond, now, false};
+    CHECK(WorkerReachability::is_process_in_question(now, {silent, newer}));
+    CHECK_FALSE(WorkerReachability::is_process_in_question(now, {silent, heard, newer}));
+    CHECK_FALSE(WorkerReachability::is_process_in_question(now, {newer}));
+}
