--- a/tests/support/process_soak.h
+++ b/tests/support/process_soak.h
@@ -258,7 +258,7 @@
     void inject() {
         next_fault_at_ = now() + between(300 * kMillisecond, 1500 * kMillisecond);
         ++faults_;
-        switch (pick(20)) {
+        switch (pick(21)) {
             case 0:
             case 1:
                 return crash_worker(pick(2) ? 0 : between(100 * kMillisecond, 3 * kSecond));
@@ -293,6 +293,8 @@
                 return stall_worker_connection();
             case 17:
                 return come_back_elsewhere();
+            case 18:
+                return replace_worker();
             default:
                 remember("connections reset everywhere");
                 for (const auto& worker : rig_.workers) worker->reset_connections();
@@ -350,6 +352,15 @@
             if (!goes_on) proxy->reset(*connection);
         });
     }
+    // Its machine is back with a new process; its old connections stay open, and the list is late.
+    void replace_worker() {
+        ModelWorker& worker = any_worker();
+        if (worker.is_silent || worker.is_down()) return;
+        remember("replaced " + worker.name);
+        worker.replace_silently();
+        worker.started_at_ms = (read_clock(CLOCK_REALTIME) + shim_.wall_clock_offset()) / kMillisecond;
+        later(between(0, 9 * kSecond), [this, &worker] { rig_.publish(worker); });
+    }
     // A client uses another connection from now on, and its first one stays open.
     void come_back_elsewhere() {
         if (placer_is_down_) return;
