--- a/src/platform/pooled_worker.h
+++ b/src/platform/pooled_worker.h
@@ -77,6 +77,7 @@
 
 private:
     friend class WorkerConnection;
+    static constexpr Nanos kDialBackoff = 150 * kMillisecond;  // after the first dial that fails
     struct EndedTask {
         std::uint64_t id;
         platform_codec::Cause cause;
