--- a/src/platform/adoption_controller.cpp
+++ b/src/platform/adoption_controller.cpp
@@ -93,9 +93,10 @@
         repeated_reports_.push_back({task.id, client.number(), context_.now()});
 }
 
-// Of two clients that report one task, the one that is known to report what is true.
-bool AdoptionController::is_likelier_owner(const ClientConnection& client, const InFlightTask& task) const {
-    if (!task.client) return true;
+// Of two clients that report one task, the one that is known to report what is true. One whose connection is
+// gone may be on its way back.
+bool AdoptionController::is_likelier_owner(const ClientConnection& client, const InFlightTask& task) {
+    if (!task.client) return false;
     const int confirmed_by_this_task = task.liveness.is_confirmed() ? 1 : 0;
     return client.confirmed_tasks() > 0 && task.client->confirmed_tasks() <= confirmed_by_this_task;
 }
@@ -110,8 +111,7 @@
     lifecycle_.move_to_connection(task, client);
 }
 
-// The first report may have been another client's, just after a start. The latest replaces an earlier one of
-// the same address whose connection has gone.
+// The first report may have been another client's, just after a start.
 void AdoptionController::add_reporter(InFlightTask& task, const RunningTaskReport& report,
                                       const ClientConnection* client) {
     const ledger::ConnectionNumber connection = client ? client->number() : ledger::kNoConnection;
--- a/src/platform/adoption_controller.h
+++ b/src/platform/adoption_controller.h
@@ -34,7 +34,7 @@
     void report_known(InFlightTask&, const RunningTaskReport&, ClientConnection*);
     void add_reporter(InFlightTask&, const RunningTaskReport&, const ClientConnection*);
     void remember_repeated(const InFlightTask&, const ClientConnection&);
-    bool is_likelier_owner(const ClientConnection&, const InFlightTask&) const;
+    static bool is_likelier_owner(const ClientConnection&, const InFlightTask&);
     void swap_owner(InFlightTask&, ClientConnection&);
     // Whether the connection on which the task was reported before may be dead.
     bool may_have_moved(const RepeatedReport&) const;
--- a/src/platform/worker_connection.cpp
+++ b/src/platform/worker_connection.cpp
@@ -165,7 +165,8 @@
                   {"running_tasks", accepted_.size()}});
     pending_health_checks_.clear();
     retire();
-    worker_.reachability_.on_word_may_be_lost();
+    // One that never said anything holds no word back: its worker hangs, and will speak on it.
+    if (last_received_ > up_since_) worker_.reachability_.on_word_may_be_lost();
 }
 
 void WorkerConnection::ask_for_life() {
--- a/tests/platform_recovery_test.cpp
+++ b/tests/platform_recovery_test.cpp
@@ -151,3 +151,26 @@
     CHECK(other.count(MessageType::release, 1) == (is_placed_anew ? 0u : 1u));
     CHECK(rig.client.count(MessageType::release, 1) == 0);
 }
+
+TEST_CASE("a client that is away loses none of its tasks to another one that reports them") {
+    SingleWorkerRig rig;
+    TestClient& owner = rig.connect_client(2);
+    rig.request_placement(owner, 1, "free", 4294967, ";at:h");
+    Message use;
+    use.type = MessageType::note;
+    use.task = 1;
+    use.detail = "cores";
+    use.metric_value = "0.5";
+    rig.worker.last_connection().send(use);
+    rig.run(20 * kMillisecond);
+    owner.stream.reset();
+    rig.run(20 * kMillisecond);
+    TestClient& other = rig.connect_client(3);
+    other.send_bytes(place_task_bytes(1, "free", 4294967, ";at:h", 77));
+    rig.run(20 * kMillisecond);
+    rig.worker.last_connection().release(1, platform_codec::Cause::ok);
+    rig.run(20 * kMillisecond);
+    TestClient& back = rig.connect_client(2);
+    rig.request_placement(back, 51, "nothing known");
+    CHECK(back.count(MessageType::release, 1) == 1);
+}
