--- a/tests/placement_request_test.cpp
+++ b/tests/placement_request_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "platform_codec/message.h"
+#include "support/platform_messages.h"
 
 using namespace whinpost;
 using platform_codec::Message;
@@ -11,18 +12,6 @@
 
 namespace {
 
-Message valid_request() {
-    Message message;
-    message.type = MessageType::place_task;
-    message.task = 0x0123456789abcdef;
-    message.queue_group = "batch";
-    message.time_left_ms = "1500";
-    message.task_name = "7f3a9c21e0b4d655";
-    message.requirements = "cores:1;memory:2;service:00000000b4d65521";
-    message.idempotency_key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
-    message.description = std::string_view("\x00 any bytes \xff", 13);
-    return message;
-}
 std::string_view error_in(const Message& message) {
     QueueGroup group;
     group.effect = Effect::keyed;
--- a/tests/platform_clients_test.cpp
+++ b/tests/platform_clients_test.cpp
@@ -154,12 +154,7 @@
     }
     other.release(77, platform_codec::Cause::given_up);
     rig.request_placement(good, 9, "free", 4294967, ";at:h");
-    Message use;  // as workers report it of each task that is handed to a placer
-    use.type = MessageType::note;
-    use.task = 9;
-    use.detail = "cores";
-    use.metric_value = "0.5";
-    rig.worker.last_connection().send(use);
+    rig.worker.last_connection().report_use(9);
     rig.run(2700 * kMillisecond);
     CHECK(bad.messages(MessageType::release).size() == 4900);
     CHECK(other.closed);
--- a/tests/platform_recovery_test.cpp
+++ b/tests/platform_recovery_test.cpp
@@ -111,12 +111,7 @@
     const auto report = [&rig](TestClient& client, std::uint64_t id, std::uint64_t name) {
         client.send_bytes(place_task_bytes(id, "free", 4294967, ";at:h", name));
         rig.run(20 * kMillisecond);
-        Message use;
-        use.type = MessageType::note;
-        use.task = id;
-        use.detail = "cores";
-        use.metric_value = "0.5";
-        rig.worker.last_connection().send(use);
+        rig.worker.last_connection().report_use(id);
         rig.run(20 * kMillisecond);
     };
     report(first, 1, 77);
@@ -156,12 +151,7 @@
     SingleWorkerRig rig;
     TestClient& owner = rig.connect_client(2);
     rig.request_placement(owner, 1, "free", 4294967, ";at:h");
-    Message use;
-    use.type = MessageType::note;
-    use.task = 1;
-    use.detail = "cores";
-    use.metric_value = "0.5";
-    rig.worker.last_connection().send(use);
+    rig.worker.last_connection().report_use(1);
     rig.run(20 * kMillisecond);
     owner.stream.reset();
     rig.run(20 * kMillisecond);
--- a/tests/platform_wait_matrix_test.cpp
+++ b/tests/platform_wait_matrix_test.cpp
@@ -67,14 +67,7 @@
         rig_.request_placement(*client_, 1, "free", 4294967, ";at:h");
         if (waiter_ == Waiter::adopted) report_use();
     }
-    void report_use() {
-        Message use;
-        use.type = MessageType::note;
-        use.task = 1;
-        use.detail = "cores";
-        use.metric_value = "0.5";
-        rig_.worker.last_connection().send(use);
-    }
+    void report_use() { rig_.worker.last_connection().report_use(1); }
     void break_something() {
         switch (break_) {
             case Break::nothing:
--- a/tests/support/platform_messages.h
+++ b/tests/support/platform_messages.h
@@ -44,6 +44,15 @@
         if (!reason.empty()) message.detail = reason;
         send(message);
     }
+    // What a worker says of a task that it starts, or that is handed to a placer.
+    void report_use(std::uint64_t id) {
+        Message note;
+        note.type = MessageType::note;
+        note.task = id;
+        note.detail = "cores";
+        note.metric_value = "0.5";
+        send(note);
+    }
     // A health check, which the server answers: the shortest way to be known as a client.
     void send_plain_check() {
         Message message;
@@ -82,6 +91,20 @@
     }
 };
 
+// With every field that a request of a keyed queue group, `batch`, has.
+inline Message valid_request() {
+    Message message;
+    message.type = MessageType::place_task;
+    message.task = 0x0123456789abcdef;
+    message.queue_group = "batch";
+    message.time_left_ms = "1500";
+    message.task_name = "7f3a9c21e0b4d655";
+    message.requirements = "cores:1;memory:2;service:00000000b4d65521";
+    message.idempotency_key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+    message.description = std::string_view("\x00 any bytes \xff", 13);
+    return message;
+}
+
 inline std::string task_name_of(std::uint64_t id) {
     std::string out(16, '0');
     for (std::size_t i = 16; i-- > 0; id >>= 4) out[i] = "0123456789abcdef"[id & 15];
--- a/tests/support/process_rig.h
+++ b/tests/support/process_rig.h
@@ -108,7 +108,7 @@
         while_it_lasts(any, [&] {
             if (reports_handed_over)
                 for (const std::uint64_t id : std::exchange(unreported_, {}))
-                    if (running.contains(id)) report_use(any, id);
+                    if (running.contains(id)) any.report_use(id);
         });
         while_it_lasts(any, [&] {
             for (const auto& [id, cause] : repeated) any.release(id, cause);
@@ -122,7 +122,7 @@
     void report_use_of(std::uint64_t id) {
         if (connections_.empty()) return;
         SocketPeer& on = set_up_connection(id, *connections_.back()->peer);
-        while_it_lasts(on, [&] { report_use(on, id); });
+        while_it_lasts(on, [&] { on.report_use(id); });
     }
 
 private:
@@ -147,14 +147,6 @@
             peer.was_reset = true;
         }
     }
-    static void report_use(SocketPeer& peer, std::uint64_t id) {
-        Message note;
-        note.type = MessageType::note;
-        note.task = id;
-        note.detail = "cores";
-        note.metric_value = "0.5";
-        peer.send(note);
-    }
     void serve(Connection& connection) {
         connection.peer->read_available();
         if (connection.peer->peer_closed || connection.peer->was_reset) return;
@@ -166,7 +158,7 @@
                 running.insert(message.task);
                 set_up_on_[message.task] = connection.peer.get();
                 connection.peer->answer(message.task, name);
-                report_use(*connection.peer, message.task);
+                connection.peer->report_use(message.task);
             } else if (message.type == MessageType::release) {
                 cancelled.insert(message.task);
                 // An attempt is given up on its own connection; the same id may have been sent again.
