--- a/src/platform/pooled_worker.h
+++ b/src/platform/pooled_worker.h
@@ -117,6 +117,7 @@
     void ask_old_connections(Nanos now);
     std::vector<ledger::WorkerReachability::ConnectionState> connection_states() const;
     void dial_for_word(Nanos now, bool alive);
+    void close_earlier_for_word(const WorkerConnection& latest);
 
     const std::string name_;
     const std::uint32_t number_;
--- a/src/platform/pooled_worker_sweep.cpp
+++ b/src/platform/pooled_worker_sweep.cpp
@@ -176,11 +176,25 @@
 
 void PooledWorker::dial_for_word(Nanos now, bool alive) {
     if (now < next_dial_at_ || is_gone()) return;  // a new worker may have the address of one that left
+    WorkerConnection* connection = dial();
+    if (connection) connection->opened_for_word_ = true;
     // A descriptor that this process lacks says nothing about the worker.
-    if (!dial() && !alive) last_received_ = now;
+    else if (!alive) last_received_ = now;
     next_dial_at_ = now + kDialBackoff;
 }
 
+// Guards against a pile of connections to a worker whose tasks are quiet. What crosses the close is said
+// again on the next one.
+void PooledWorker::close_earlier_for_word(const WorkerConnection& latest) {
+    std::vector<WorkerConnection*> earlier;
+    for (const auto& connection : connections_) {
+        const bool is_earlier = connection->opened_for_word_ && connection.get() != &latest;
+        if (is_earlier && connection->is_empty() && connection->accepted_.empty() && !connection->is_mute_)
+            earlier.push_back(connection.get());
+    }
+    for (WorkerConnection* connection : earlier) connection->close();
+}
+
 void PooledWorker::sweep(Nanos now) {
     closed_.clear();
     check_connections(now);
--- a/src/platform/worker_connection.cpp
+++ b/src/platform/worker_connection.cpp
@@ -215,6 +215,7 @@
     for (const std::uint64_t id : std::exchange(pending_cancels_, {})) cancel_task(id);
     for (const std::uint64_t id : std::exchange(worker_.pending_cancels_, {})) cancel_task(id);
     if (std::exchange(health_check_due_, false)) check_health();
+    if (opened_for_word_) worker_.close_earlier_for_word(*this);
     send_waiting();
 }
 
--- a/src/platform/worker_connection.h
+++ b/src/platform/worker_connection.h
@@ -90,6 +90,7 @@
     Nanos last_received_ = 0, last_used_ = 0, up_since_ = 0;
     Nanos asked_at_ = 0;                 // for a sign of life that has not come; 0: it was not
     bool is_mute_ = false;               // and none has come in time
+    bool opened_for_word_ = false;       // only to bring what the worker may have said in vain
     bool is_doubted_ = false;            // mute, and the tasks that were spoken of on it are in doubt
     std::deque<InFlightTask*> waiting_;  // not written yet
     // Written, and not ended; looked up, and walked in order of id only.
--- a/tests/support/process_rig.h
+++ b/tests/support/process_rig.h
@@ -118,12 +118,6 @@
             while_it_lasts(on, [&, task = id, why = cause] { on.release(task, why); });
         }
     }
-    // Its use is said again, on the connection on which it was set up.
-    void report_use_of(std::uint64_t id) {
-        if (connections_.empty()) return;
-        SocketPeer& on = set_up_connection(id, *connections_.back()->peer);
-        while_it_lasts(on, [&] { on.report_use(id); });
-    }
 
 private:
     struct Connection {
