--- a/src/ledger/worker_reachability.h
+++ b/src/ledger/worker_reachability.h
@@ -45,6 +45,8 @@
     struct ConnectionState {
         Nanos up_since = 0, heard_at = 0;  // heard_at: when the last byte came; up_since if none did
         bool is_mute = false;
+        Nanos asked_at = 0;      // by a health check that has no answer; 0: by none
+        Nanos answered_ask = 0;  // when the latest health check was sent that was answered; 0: none was
     };
     static bool is_old(Nanos now, const ConnectionState& connection) {
         return !connection.is_mute && now - connection.up_since >= kAskAfter;
--- a/src/platform/pooled_worker_sweep.cpp
+++ b/src/platform/pooled_worker_sweep.cpp
@@ -104,16 +104,15 @@
     if (!health_checks_ || running_.empty()) return;
     if (ledger::WorkerReachability::is_process_in_question(now, connection_states()))
         ask_old_connections(now);
-    bool any_mute = false;
+    Nanos unanswered_since = 0;
     for (const auto& connection : connections_) {
-        if (connection->asked_at_) connection->retire_if_mute(connection->asked_at_);
-        any_mute = any_mute || connection->is_mute_;
+        connection->check_mute();
+        if (connection->is_mute_) unanswered_since = std::max(unanswered_since, connection->asked_at_);
     }
-    if (!any_mute) return;
+    if (!unanswered_since) return;
     for (const auto& connection : connections_) {
         if (connection->is_mute_ && !connection->is_doubted_) doubt_tasks_on(*connection);
-        const bool is_unheard = connection->last_received_ <= connection->up_since_;
-        if (connection->is_up() && !connection->is_mute_ && is_unheard) connection->ask_for_life();
+        if (!connection->is_mute_ && connection->answered_ask_ < unanswered_since) connection->ask_for_life();
     }
 }
 
--- a/src/platform/release_controller.h
+++ b/src/platform/release_controller.h
@@ -43,8 +43,9 @@
 private:
     void add(OwedRelease, const ReleaseRecipient&);
     // To its own connection, or to all of its client's address.
-    void write_where_allowed(OwedRelease&);
-    void write(OwedRelease&, ClientConnection&);
+    enum class Form { release, migration };
+    void write_where_allowed(OwedRelease&, Form);
+    void write(OwedRelease&, ClientConnection&, Form);
     bool sweep_one(OwedRelease&, Nanos now);
     void log_settled(const OwedRelease&, ledger::DeliveryOutcome) const;
 
--- a/src/platform/worker_connection.cpp
+++ b/src/platform/worker_connection.cpp
@@ -140,7 +140,7 @@
         return;
     }
     if (in_flight_.erase(task.id) == 0) return;
-    retire_if_mute(task.record->in_flight->sent_at);
+    retire_if_unanswered(task.record->in_flight->sent_at);
     // A repeat of an idempotent task may run elsewhere: a late acceptance is cancelled. Others are left
     // running; clients find them by their name.
     abandoned_[task.id] = task.record->queue_group->effect == Effect::idempotent;
@@ -151,17 +151,23 @@
     if (is_up()) write(message);
 }
 
-void WorkerConnection::retire_if_mute(Nanos written_at) {
-    if (ledger::WorkerReachability::is_mute(worker_.loop_.now(), last_received_, written_at))
-        become_mute(written_at);
+// Its neighbours to the same worker may be well, and a slow worker may answer yet: it only carries nothing
+// new.
+void WorkerConnection::retire_if_unanswered(Nanos written_at) {
+    const Nanos now = worker_.loop_.now();
+    if (state_ != State::up || !ledger::WorkerReachability::is_mute(now, last_received_, written_at)) return;
+    retire();
+    worker_.reachability_.on_word_may_be_lost();
 }
 
-// Its neighbours to the same worker may be well.
-void WorkerConnection::become_mute(Nanos unanswered_since) {
-    if (!is_up() || std::exchange(is_mute_, true)) return;
+void WorkerConnection::check_mute() {
+    const Nanos now = worker_.loop_.now();
+    if (!asked_at_ || is_mute_ || !is_up()) return;
+    if (!ledger::WorkerReachability::is_mute(now, last_received_, asked_at_)) return;
+    is_mute_ = true;
     worker_.log_(log::Level::info, "worker_connection_mute",
                  {{"worker", worker_.name_},
-                  {"unanswered_ms", (worker_.loop_.now() - unanswered_since) / kMillisecond},
+                  {"silent_ms", (now - last_received_) / kMillisecond},
                   {"running_tasks", accepted_.size()}});
     pending_health_checks_.clear();
     retire();
@@ -171,7 +177,8 @@
 
 void WorkerConnection::ask_for_life() {
     if (asked_at_ || !is_up()) return;
-    asked_at_ = worker_.loop_.now();
+    asked_at_ = ask_sent_at_ = worker_.loop_.now();
+    ask_ = worker_.next_health_check_;
     check_health();
 }
 
@@ -351,6 +358,7 @@
 }
 
 void WorkerConnection::on_health_check_reply(const Message& message) {
+    if (message.task == ask_) answered_ask_ = ask_sent_at_;
     if (pending_health_checks_.erase(message.task) && message.cause == Cause::check_passed)
         worker_.handler_.on_load_report(worker_, load_report_of(message));
 }
--- a/src/platform/worker_connection.h
+++ b/src/platform/worker_connection.h
@@ -74,10 +74,12 @@
     bool is_long_idle() const;
     void send_waiting();
     ledger::WorkerReachability::ConnectionState state() const {
-        return {up_since_, last_received_, is_mute_};
+        return {up_since_, last_received_, is_mute_, asked_at_, answered_ask_};
     }
-    void retire_if_mute(Nanos written_at);
-    void become_mute(Nanos unanswered_since);
+    // An attempt that was written then is given up.
+    void retire_if_unanswered(Nanos written_at);
+    // Once the time to answer the latest ask_for_life() is over.
+    void check_mute();
     void end_attempts(bool was_up);
     void write(const platform_codec::Message&);
     void log_message(const platform_codec::Message&) const;
@@ -88,7 +90,9 @@
     State state_ = State::dialing;
     bool health_check_due_ = false;  // to be sent once it is up
     Nanos last_received_ = 0, last_used_ = 0, up_since_ = 0;
-    Nanos asked_at_ = 0;                 // for a sign of life that has not come; 0: it was not
+    Nanos asked_at_ = 0;     // for a sign of life that has not come; 0: it was not
+    std::uint64_t ask_ = 0;  // the id of the latest health check that asked for one
+    Nanos ask_sent_at_ = 0, answered_ask_ = 0;
     bool is_mute_ = false;               // and none has come in time
     bool opened_for_word_ = false;       // only to bring what the worker may have said in vain
     bool is_doubted_ = false;            // mute, and the tasks that were spoken of on it are in doubt
--- a/tests/platform_sockets_clients_test.cpp
+++ b/tests/platform_sockets_clients_test.cpp
@@ -182,3 +182,20 @@
     CHECK(next.count(MessageType::release, 8) == 1);
     CHECK(next.count(MessageType::release, 7) == 0);
 }
+
+TEST_CASE("a migration reaches its client as one, and not as the end of its task") {
+    SocketRig rig;
+    ListeningSocket worker;
+    rig.publish_initial({SocketRig::entry("h", worker.address())}, true);
+    SocketPeer client = rig.connect_client();
+    rig.run_task(client, worker, 7);
+    rig.server->migrate(rig.planner.submitted.back());
+    rig.run_until([&] {
+        client.read_available();
+        return client.count(MessageType::migrate, 7) + client.count(MessageType::release, 7) > 0;
+    });
+    CHECK(client.count(MessageType::migrate, 7) == 1);
+    rig.run_until([&] { return rig.server->task_count() == 0; });
+    client.read_available();
+    CHECK(client.count(MessageType::release, 7) == 0);
+}
--- a/tests/worker_reachability_test.cpp
+++ b/tests/worker_reachability_test.cpp
@@ -38,11 +38,12 @@
 
 TEST_CASE("a process may be replaced where the worker answers on newer connections only") {
     const Nanos heard = kStart + 10;
-    const WorkerReachability::ConnectionState mute{kStart, heard, true};
-    const WorkerReachability::ConnectionState newer{heard + 5, heard + 6, false};
+    const WorkerReachability::ConnectionState mute{kStart, heard, true, heard + 7, 0};
+    const WorkerReachability::ConnectionState newer{heard + 5, heard + 9, false, 0, heard + 8};
+    const WorkerReachability::ConnectionState slow{heard + 5, heard + 9, false, 0, heard + 6};
     const WorkerReachability::ConnectionState unheard{heard + 5, heard + 5, false};
     const WorkerReachability::ConnectionState as_old{heard - 5, heard + 6, false};
-    const WorkerReachability::ConnectionState mute_later{heard - 5, heard + 3, true};
+    const WorkerReachability::ConnectionState mute_later{heard - 5, heard + 3, true, heard + 7, 0};
     using States = std::vector<WorkerReachability::ConnectionState>;
     const auto since = [&mute](const States& states) {
         return WorkerReachability::may_be_replaced_since(mute, states);
@@ -50,6 +51,7 @@
     CHECK(since({mute, newer}) == heard);
     CHECK_FALSE(since({mute}));
     CHECK_FALSE(since({mute, unheard}));        // it may hang
+    CHECK_FALSE(since({mute, slow}));           // and answer later
     CHECK_FALSE(since({mute, newer, as_old}));  // the same process spoke on both
     CHECK(since({mute, newer, mute_later}) == heard + 3);
 }
