--- a/src/server/drain_controller.cpp
+++ b/src/server/drain_controller.cpp
@@ -10,8 +10,8 @@
 using log::Level;
 // Streams do not tell when they are written out, so they are looked at this often.
 constexpr Nanos kPollInterval = 5 * kMillisecond;
-// For what is written to reach clients, once nobody waits for an answer. A client that reads nothing, or whose
-// connection is dead without a reset, would hold up the shutdown for good.
+// For what is written to reach clients, once nobody waits for an answer. A client that reads nothing, or
+// whose connection is dead without a reset, would hold up the shutdown for good.
 constexpr Nanos kFlushTimeout = 2 * kSecond;
 }  // namespace
 
