--- a/src/platform/task_lifecycle.cpp
+++ b/src/platform/task_lifecycle.cpp
@@ -82,7 +82,7 @@
 // Clients may end a task on any connection, so the one that does may be another than the one that waits.
 void TaskLifecycle::notify_others_of_end(const InFlightTask& task, const ClientConnection& by,
                                          platform_codec::Cause cause) {
-    if (task.client && task.client != &by)
+    if (task.client != &by)
         releases_.send_release(task.id, task.name, cause, {task.client_address, task.client});
     for (const InFlightTask::OtherReporter& other : task.other_reporters) {
         ClientConnection* connection = clients_.find(other.connection);
--- a/tests/platform_recovery_test.cpp
+++ b/tests/platform_recovery_test.cpp
@@ -164,3 +164,19 @@
     rig.request_placement(back, 51, "nothing known");
     CHECK(back.count(MessageType::release, 1) == 1);
 }
+
+TEST_CASE("a client that is away is told of the end of a task that another one has ended") {
+    SingleWorkerRig rig;
+    rig.request_placement(rig.client, 1);
+    rig.worker.last_connection().answer(1);
+    rig.run(20 * kMillisecond);
+    rig.client.stream.reset();
+    rig.run(20 * kMillisecond);
+    TestClient& other = rig.connect_client(3);
+    other.release(1, platform_codec::Cause::given_up);
+    rig.run(20 * kMillisecond);
+    TestClient& back = rig.connect_client(1);
+    rig.request_placement(back, 51, "nothing known");
+    CHECK(back.count(MessageType::release, 1) == 1);
+    CHECK(other.count(MessageType::release, 1) == 0);
+}
