--- a/src/ledger/worker_reachability.h
+++ b/src/ledger/worker_reachability.h
@@ -61,8 +61,9 @@
         }
         return any_old;
     }
-    // Since when the process that spoke on a mute connection may be gone, though the machine answers: it is
-    // heard on a connection that was opened since, and on none that was open while the mute one spoke.
+    // Since when the process that spoke on a mute connection may be gone, though the machine answers: a
+    // health check sent later is answered on a connection that was opened since, and nothing is heard on any
+    // that was open while the mute one spoke. A worker that is slow answers neither.
     static std::optional<Nanos> may_be_replaced_since(const ConnectionState& mute,
                                                       const std::vector<ConnectionState>& connections);
 
