--- a/review/parts2.py
+++ b/review/parts2.py
@@ -413,17 +413,17 @@
 class Owner:
     """An owner's connection to one placer. Acknowledges releases of standing tasks."""
 
-    def __init__(self, run, name, placer):
-        self.run, self.name, self.placer = run, name, placer
+    def __init__(self, run, name, placer, source='127.0.0.1'):
+        self.run, self.name, self.placer, self.source = run, name, placer, source
         self.requests = {}
         self.ended_at = None
 
     async def connect(self):
-        reader, writer = await asyncio.open_connection(*self.placer.listen.split(':'))
+        reader, writer = await asyncio.open_connection(*self.placer.listen.split(':'), local_addr=(self.source, 0))
         self.link = Link(reader, writer)
         self.run.links.append(self.link)
         self.connected = time.time()
-        self.run.say(f'{self.name}: connected to {self.placer.name}')
+        self.run.say(f'{self.name}: connected to {self.placer.name} from {self.source}')
         self.reading = asyncio.ensure_future(self.read())
 
     def ask(self, group, figures, wait_s=None, key=None, task=None, name=None):
