--- a/review/7/case.py
+++ b/review/7/case.py
@@ -64,15 +64,17 @@
         raise p.CannotRun('not all containers stand')
     held = {request.task: host for request in asked for host in hosts if request.task in host.standing}
 
+    id_of = {request.task: request.task for request in asked}  # the id by which its box knows a container now
+
     async def live(host, task, every):
         ends = time.time() + LIFE_S
         value = 0.5
         while time.time() + every < ends:
             await asyncio.sleep(every)
             value = 1.2 - value
-            host.note(task, 'cores', value)
+            host.note(id_of[task], 'cores', value)
         await asyncio.sleep(max(0, ends - time.time()))
-        host.end(task)
+        host.end(id_of[task])
 
     lives = [asyncio.ensure_future(live(held[request.task], request.task, every)) for request, every in zip(asked, NOTE_EVERY_S)]
     await asyncio.sleep(5.5)
@@ -89,9 +91,13 @@
         await owner.connect()
         reports = []
         for request in asked:
-            reports.append(owner.ask('split-api', f'cores:1;memory:2;service:{service_of[request.task]};at:{held[request.task].name}',
-                                     task=request.task, name=request.name))
-            handed_at[request.task] = time.time() + HANDED_S
+            new = int.from_bytes(os.urandom(8), 'big') | 1
+            host = held[new] = held[request.task]
+            id_of[request.task], service_of[new] = new, service_of[request.task]
+            host.known_as(request.task, new)
+            reports.append(owner.ask('split-api', f'cores:1;memory:2;service:{service_of[new]};at:{host.name}', task=new,
+                                     name=request.name))
+            handed_at[new] = time.time() + HANDED_S
     again = set()
     for _ in range(100):  # an owner whose container is lost asks again soon
         await asyncio.sleep(0.1)
--- a/review/parts2.py
+++ b/review/parts2.py
@@ -154,6 +154,7 @@
     def __init__(self, reader, writer):
         self.reader, self.writer = reader, writer
         self.open = True
+        self.useless = False  # left open, but a host neither reads nor writes on it any more
 
     def send(self, bytes_):
         if self.open:
@@ -213,6 +214,8 @@
             self.say(link, encode(RELEASE, task, CAUSE=cause), f'release {task:016x} cause {cause}, once more')
         self.again = []
         async for message in link.messages():
+            if link.useless:
+                continue
             if message.kind == TEST:
                 link.send(encode(TESTED, message.task, CAUSE=1, REPORT=f'x0:{self.free[0]};x1:{self.free[1]}'))
             elif message.kind == SETUP:
@@ -241,11 +244,17 @@
         self.standing[message.task] = link
         self.say(link, encode(ANSWER, message.task, TEXT=f'{self.name}/{message.task:016x}'), f'answer {message.task:016x}')
 
+    def known_as(self, old, new):
+        """A set-up with `at` has a new id, as every set-up; the host knows the task by that one from then on."""
+        if old in self.standing:
+            self.standing[new] = self.standing.pop(old)
+            self.run.say(f'{self.name}: knows {old:016x} as {new:016x}')
+
     def link_of(self, task):
         own = self.standing.get(task)
-        if own and own.open:
+        if own and own.open and not own.useless:
             return own
-        return next((link for link in self.links if link.open), None)
+        return next((link for link in self.links if link.open and not link.useless), None)
 
     def note(self, task, what, value):
         link = self.link_of(task)
